--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,4 +6,6 @@
 export * from './http_json.js';
 export * from './link_proxy.js';
 export * from './local_plan.js';
+export * from './test_plan.js';
 export * from './types.js';
+export * from './witness.js';
--- /dev/null
+++ b/packages/bench/src/witness.ts
@@ -0,0 +1,56 @@
+import type {ExecutionRecord} from '@fescuespool/stand-ins';
+import type {CallResult} from './caller.js';
+import {CALL_END} from './constants.js';
+
+const NOT_RUN = 'not_run';
+
+/** Executions by the identifier under which the upstream saw them. */
+export function countExecutions(
+  records: readonly ExecutionRecord[],
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {requestId} of records) {
+    counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** Bodies of calls that were executed more than once, with their counts. */
+export function findRepeatedBodies(
+  records: readonly ExecutionRecord[],
+  callPrefix: string,
+): string[] {
+  const counts = new Map<string, number>();
+  for (const {call, bodyHash} of records) {
+    if (!call.startsWith(callPrefix)) continue;
+    const key = `${call} ${bodyHash}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return [...counts]
+    .filter(([, count]) => count > 1)
+    .map(([key, count]) => `${key} ran ${count} times`);
+}
+
+/**
+ * Compares what callers received with what upstreams executed. The result
+ * names every breach; it is empty where all holds.
+ */
+export function findBreaches(
+  results: readonly CallResult[],
+  records: readonly ExecutionRecord[],
+): string[] {
+  const executions = countExecutions(records);
+  const breaches: string[] = [];
+  for (const [requestId, count] of executions) {
+    if (count > 1) breaches.push(`${requestId} was executed ${count} times`);
+  }
+  for (const {end, isRight, problem, requestId} of results) {
+    if (end === CALL_END.WHOLE && !isRight) {
+      breaches.push(`${requestId} got an answer that is not its own`);
+    }
+    if (problem?.outcome === NOT_RUN && executions.has(requestId)) {
+      breaches.push(`${requestId} was refused as not run, but it ran`);
+    }
+  }
+  return breaches;
+}
--- /dev/null
+++ b/packages/daemon/src/chat_run.test.ts
@@ -0,0 +1,119 @@
+import type {CallResult, ChatCall} from '@fescuespool/bench';
+import {
+  callChat,
+  findBreaches,
+  Fleet,
+  smallPlan,
+  waitFor,
+} from '@fescuespool/bench';
+import {CRASH_MARKER} from '@fescuespool/stand-ins';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+const LONG_ANSWER_TOKENS = 120;
+const PROMPT = 'summarise the supplier contract '.repeat(60);
+
+describe('chat completions under failure', () => {
+  let fleet: Fleet;
+  let serial = 0;
+
+  const chat = (
+    entry: string,
+    overrides: Partial<ChatCall> = {},
+  ): Promise<CallResult> =>
+    callChat({
+      url: fleet.daemon(entry).callerUrl,
+      account: 'customs',
+      service: 'assist',
+      prompt: `${++serial} ${PROMPT}`,
+      maxTokens: LONG_ANSWER_TOKENS,
+      stream: true,
+      ...overrides,
+    });
+  const waitForRun = (): Promise<void> =>
+    waitFor('a stream runs', async () => {
+      const records = await fleet.allRecords();
+      return records.some(r => r.end === null && r.outputTokens > 2);
+    });
+
+  beforeEach(async () => {
+    fleet = await Fleet.start(smallPlan({models: 3, applications: 0}));
+  });
+  afterEach(() => fleet.close());
+
+  describe('broken streams', () => {
+    it('resumes a cut stream at its offset, streamed and whole', async () => {
+      for (const id of ['engine-1', 'engine-2', 'engine-3']) {
+        await fleet.setFaults(id, {cutNext: 1});
+      }
+      const results = await Promise.all([
+        chat('entry-1'),
+        chat('entry-2', {stream: false}),
+        chat('entry-3'),
+      ]);
+      for (const result of results) {
+        expect(result).toMatchObject({end: 'whole', isRight: true});
+      }
+      expect(findBreaches(results, await fleet.allRecords())).toEqual([]);
+    });
+
+    it('never lets a broken answer look whole', async () => {
+      const calls = [chat('entry-1'), chat('entry-1', {stream: false})];
+      await waitForRun();
+      for (const id of ['engine-1', 'engine-2', 'engine-3']) {
+        await fleet.killUpstream(id);
+      }
+      const results = await Promise.all(calls);
+      for (const result of results) {
+        expect(result.end).not.toBe('whole');
+        if (result.problem) expect(result.problem.outcome).not.toBe('not_run');
+      }
+    });
+  });
+
+  describe('callers', () => {
+    it('cancels the run of a caller that has gone', async () => {
+      const controller = new AbortController();
+      const gone = chat('entry-1', {signal: controller.signal});
+      await waitForRun();
+      controller.abort();
+      expect((await gone).end).toBe('broken');
+      await waitFor('the run is cancelled', async () => {
+        const records = await fleet.allRecords();
+        return records.every(record => record.end === 'cancelled');
+      });
+    });
+  });
+
+  describe('entry death', () => {
+    it('joins the running stream on a re-send under the same key', async () => {
+      const call = {key: 'contract-7', prompt: PROMPT};
+      const first = chat('entry-2', call);
+      await waitForRun();
+      await fleet.daemon('entry-2').process.kill();
+      expect((await first).end).toBe('broken');
+      const again = await chat('entry-3', call);
+      expect(again).toMatchObject({end: 'whole', isRight: true});
+      const records = await fleet.allRecords();
+      expect(records.length).toBe(1);
+    });
+  });
+
+  describe('poison requests', () => {
+    it('kill a bounded number of upstreams, and the others serve on', async () => {
+      const prompt = `${CRASH_MARKER} ${PROMPT}`;
+      const ends: CallResult[] = [];
+      for (let i = 0; i < 6; i++) {
+        const entry = `entry-${1 + (i % 3)}`;
+        ends.push(await chat(entry, {prompt, deadlineMs: 3_000}));
+      }
+      const dead = [...fleet.upstreams.values()].filter(
+        upstream => !upstream.process.isRunning,
+      );
+      expect(dead.length).toBeLessThanOrEqual(2);
+      const reasons = ends.map(end => end.problem?.reason);
+      expect(reasons).toContain('poison_suspected');
+      const innocent = await chat('entry-1');
+      expect(innocent).toMatchObject({end: 'whole', isRight: true});
+    });
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/claim_gate.test.ts
@@ -0,0 +1,210 @@
+import type {JsonAnswer} from '@fescuespool/bench';
+import {
+  accountKey,
+  callJson,
+  findRepeatedBodies,
+  Fleet,
+  smallPlan,
+  waitFor,
+} from '@fescuespool/bench';
+import {sleep} from '@fescuespool/common';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+interface ProblemBody {
+  readonly reason?: string;
+  readonly outcome?: string;
+  readonly requestId?: string;
+}
+
+describe('non-idempotent calls with a key', () => {
+  let fleet: Fleet;
+  let serial = 0;
+
+  const book = (
+    entry: string,
+    key: string,
+    dock: number | string = key,
+    deadlineMs = 8_000,
+  ): Promise<JsonAnswer> =>
+    callJson(
+      `${fleet.daemon(entry).callerUrl}/services/ledger/bookings`,
+      'POST',
+      {dock},
+      {
+        authorization: `Bearer ${accountKey('yard')}`,
+        'idempotency-key': key,
+        'x-request-deadline-ms': String(deadlineMs),
+      },
+    );
+  const newKey = (): string => `key-${++serial}`;
+  const problemOf = (answer: JsonAnswer): ProblemBody =>
+    answer.body as ProblemBody;
+  const executionsOf = async (key: string): Promise<number> => {
+    const probe = (await book('entry-1', `probe-${key}`, key)).body as {
+      bodyHash: string;
+    };
+    const records = await fleet.allRecords();
+    // The probe itself ran with the same body.
+    return records.filter(r => r.bodyHash === probe.bodyHash).length - 1;
+  };
+  const appIds = ['app-1', 'app-2'];
+  const setAllFaults = async (faults: object): Promise<void> => {
+    for (const id of appIds) await fleet.setFaults(id, faults);
+  };
+
+  beforeAll(async () => {
+    fleet = await Fleet.start(smallPlan({models: 0}));
+  });
+  afterAll(() => fleet.close());
+
+  describe('without failures', () => {
+    it('gives every re-send the answer of the one run', async () => {
+      const key = newKey();
+      await setAllFaults({serviceMs: 300});
+      const answers = await Promise.all([
+        book('entry-1', key),
+        book('entry-2', key),
+        book('entry-3', key),
+        book('entry-1', key),
+      ]);
+      await setAllFaults({serviceMs: 30});
+      const late = await book('entry-2', key);
+      const bodies = [...answers, late].map(answer => answer.body);
+      expect(new Set(bodies.map(body => JSON.stringify(body))).size).toBe(1);
+      expect(await executionsOf(key)).toBe(1);
+    });
+
+    it('refuses a key that was used with another body', async () => {
+      const key = newKey();
+      expect((await book('entry-1', key, 'a')).status).toBe(200);
+      const other = await book('entry-2', key, 'b');
+      expect(other.status).toBe(422);
+      expect(problemOf(other)).toMatchObject({
+        reason: 'key_reused',
+        outcome: 'not_run',
+      });
+    });
+  });
+
+  describe('platform failures', () => {
+    it('reads back a claim whose answer was lost', async () => {
+      const key = newKey();
+      await fleet.setFaults('platform', {
+        loseCasAnswers: 1,
+        loseCasPrefix: 'claims/',
+      });
+      expect((await book('entry-1', key)).status).toBe(200);
+      expect(await executionsOf(key)).toBe(1);
+    });
+
+    it('refuses as not run during an outage, and runs once after it', async () => {
+      const key = newKey();
+      await fleet.setFaults('platform', {outage: true});
+      const refused = await book('entry-1', key);
+      await fleet.setFaults('platform', {outage: false});
+      expect(problemOf(refused)).toMatchObject({
+        reason: 'claim_unavailable',
+        outcome: 'not_run',
+      });
+      await waitFor('the platform serves again', async () => {
+        const answer = await book('entry-2', key);
+        return answer.status === 200;
+      });
+      expect(await executionsOf(key)).toBe(1);
+    });
+
+    it('frees a key whose claim was written while its answer timed out', async () => {
+      const key = newKey();
+      // The entry holds a lease, so that the claim itself is what gets lost.
+      expect((await book('entry-1', newKey())).status).toBe(200);
+      // Longer than the client waits, so that the write lands unseen.
+      await fleet.setFaults('platform', {delayMs: 2_500});
+      const refused = await book('entry-1', key);
+      await fleet.setFaults('platform', {delayMs: 0});
+      expect(problemOf(refused).outcome).toBe('not_run');
+      await waitFor('the key is free', async () => {
+        const answer = await book('entry-3', key);
+        return answer.status === 200;
+      });
+      expect(await executionsOf(key)).toBe(1);
+    });
+  });
+
+  describe('upstream failures', () => {
+    it('does not run again after the connection broke in the run', async () => {
+      const key = newKey();
+      await setAllFaults({cutNext: 1});
+      const first = await book('entry-1', key);
+      await setAllFaults({cutNext: 0});
+      expect(problemOf(first).outcome).toBe('may_have_run');
+      const again = await book('entry-2', key);
+      expect(again.status).toBe(409);
+      expect(problemOf(again).outcome).toBe('may_have_run');
+      expect(await executionsOf(key)).toBe(1);
+    });
+
+    it('tries another upstream after an explicit "not accepted"', async () => {
+      const key = newKey();
+      await fleet.setFaults('app-1', {refuseNext: 1});
+      await fleet.setFaults('app-2', {refuseNext: 0});
+      expect((await book('entry-1', key)).status).toBe(200);
+      await fleet.setFaults('app-1', {refuseNext: 0});
+      expect(await executionsOf(key)).toBe(1);
+    });
+
+    it('frees the key when no upstream accepted', async () => {
+      const key = newKey();
+      await setAllFaults({refuseNext: 1});
+      const refused = await book('entry-1', key, key, 2_000);
+      expect(problemOf(refused).outcome).toBe('not_run');
+      await setAllFaults({refuseNext: 0});
+      expect((await book('entry-2', key)).status).toBe(200);
+      expect(await executionsOf(key)).toBe(1);
+    });
+  });
+
+  describe('entry failures', () => {
+    it('does not run again after the entry was frozen in the claim', async () => {
+      const key = newKey();
+      await fleet.setFaults('platform', {delayMs: 400});
+      const first = book('entry-2', key, key, 20_000).catch(() => null);
+      await sleep(300);
+      const frozen = fleet.daemon('entry-2').process;
+      frozen.signal('SIGSTOP');
+      await fleet.setFaults('platform', {delayMs: 0});
+      const second = await book('entry-3', key, key, 20_000);
+      await sleep(3_000);
+      frozen.signal('SIGCONT');
+      await first;
+      const executions = await executionsOf(key);
+      expect(executions).toBeLessThanOrEqual(1);
+      if (problemOf(second).outcome === 'not_run') {
+        const records = await fleet.allRecords();
+        const ids = records.map(record => record.requestId);
+        expect(ids).not.toContain(problemOf(second).requestId);
+      }
+      await fleet.waitReady();
+    });
+
+    it('does not run again after the entry was killed in the run', async () => {
+      const key = newKey();
+      await setAllFaults({serviceMs: 1_500});
+      const first = book('entry-2', key).catch(() => null);
+      await waitFor('the call runs', async () => {
+        const records = await fleet.allRecords();
+        return records.some(record => record.end === null);
+      });
+      await fleet.daemon('entry-2').process.kill();
+      await setAllFaults({serviceMs: 30});
+      expect(await first).toBeNull();
+      const again = await book('entry-3', key);
+      expect(again.status).toBe(409);
+      expect(problemOf(again).outcome).toBe('may_have_run');
+      expect(await executionsOf(key)).toBe(1);
+      const all = await fleet.allRecords();
+      const repeated = findRepeatedBodies(all, 'POST /bookings');
+      // Each probe repeats the body that it counts, once.
+      expect(repeated.every(text => text.endsWith('ran 2 times'))).toBe(true);
+    });
+  });
+});
--- /dev/null
+++ b/packages/state/src/claim_store.test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {ClaimStore} from './claim_store.js';
+import {CLAIM_OUTCOME} from './constants.js';
+import type {StoreFate} from './memory_store.js';
+import {createMemoryStore} from './memory_store.js';
+
+const SUBJECT = {
+  accountId: 'yard',
+  idempotencyKey: 'k',
+  requestId: 'r',
+  fingerprint: 'f',
+};
+
+describe('ClaimStore', () => {
+  it('lets at most one holder run under any interleaving', async () => {
+    const fate = fc.constantFrom<StoreFate>('works', 'lost', 'refused');
+    const step = fc.record({
+      holder: fc.integer({min: 0, max: 2}),
+      mayRun: fc.boolean(),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(fate, {maxLength: 30}),
+        fc.array(step, {minLength: 2, maxLength: 8}),
+        async (fates, steps) => {
+          const queue = [...fates];
+          const store = createMemoryStore(() => queue.shift() ?? 'works');
+          const released = new Set<string>();
+          const ran: string[] = [];
+          const tries = steps.map(async ({holder, mayRun}) => {
+            const member = {memberId: `m${holder}`, incarnation: 1};
+            const claims = new ClaimStore(store, member);
+            let attempt = await claims.acquire(SUBJECT);
+            if (
+              attempt.outcome === CLAIM_OUTCOME.HELD &&
+              released.has(attempt.held.claim.nonce)
+            ) {
+              attempt = await claims.acquire(SUBJECT, attempt.held);
+            }
+            if (attempt.outcome !== CLAIM_OUTCOME.ACQUIRED) return;
+            const {nonce} = attempt.claim;
+            if (mayRun) ran.push(nonce);
+            else {
+              released.add(nonce);
+              await claims.release(SUBJECT, attempt.claim);
+            }
+          });
+          await Promise.all(tries);
+          expect(ran.length).toBeLessThanOrEqual(1);
+        },
+      ),
+      {numRuns: 200, verbose: 1},
+    );
+  });
+});
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,4 +6,5 @@
 export * from './config_store.js';
 export * from './constants.js';
 export * from './errors.js';
+export * from './memory_store.js';
 export * from './types.js';
