Add an experiment tool that compares placement policies on real processes

Cause: no measure of goodput by tier and wasted prefill. Ruled out: a simulator; the fleet of processes is small enough.

--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,103 @@
+#!/usr/bin/env node
+import {checkSchema, formatFinding, parseJson} from '@fescuespool/common';
+import {PLACEMENT_POLICY} from '@fescuespool/coordination';
+import {Builtins, Cli, Command, Option} from 'clipanion';
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {findBoundBreaches} from './bounds.js';
+import {runExperiment} from './experiment.js';
+import type {Experiment, RunFigures} from './experiment_types.js';
+import {EXPERIMENT_SCHEMA} from './experiment_types.js';
+import {EXPERIMENTS, SIX_ENGINES} from './experiments.js';
+import {renderHtml, renderMarkdown} from './report.js';
+
+class RunCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'compare placement policies under load and faults',
+    details: `
+      Runs real daemons and stand-ins on loopback, each policy on the same
+      arrivals. Exits with 1 when a bound is breached.
+    `,
+    examples: [
+      ['Run the default experiment', '$0'],
+      ['One load, two policies', '$0 --load 1.5 --policy priced,queue_head'],
+      ['An experiment of your own', '$0 --experiment my.json'],
+    ],
+  });
+
+  experiment = Option.String('--experiment', SIX_ENGINES.name, {
+    description: 'name of a built-in experiment or a JSON file',
+  });
+  load = Option.String('--load', {description: 'loads, separated by commas'});
+  policy = Option.String('--policy', {
+    description: 'policies, separated by commas',
+  });
+  seed = Option.String('--seed', {description: 'seed of the arrivals'});
+  out = Option.String('--out', 'results', {description: 'folder of reports'});
+
+  async execute(): Promise<number> {
+    const experiment = this.readExperiment();
+    if (!experiment) return 2;
+    const {stdout} = this.context;
+    stdout.write(`experiment ${experiment.name} seed ${experiment.seed}\n`);
+    const figures: RunFigures[] = [];
+    for (const load of experiment.loads) {
+      for (const policy of experiment.policies) {
+        const run = await runExperiment(experiment, policy, load);
+        figures.push(run);
+        const goodput = run.goodput.toFixed(3);
+        const tiers = run.tiers.map(tier => tier.goodput.toFixed(2)).join(' ');
+        stdout.write(
+          `load ${load} ${policy}: goodput ${goodput} (${tiers}), ` +
+            `prefill ${run.prefillRatio.toFixed(2)}, ` +
+            `bound ${run.upperBound.toFixed(2)}, ` +
+            `ends ${JSON.stringify(run.ends)}\n`,
+        );
+      }
+    }
+    this.writeReports(experiment, figures);
+    const breaches = findBoundBreaches(experiment, figures);
+    for (const breach of breaches) stdout.write(`BREACH ${breach}\n`);
+    stdout.write(`${breaches.length} breach(es)\n`);
+    return breaches.length > 0 ? 1 : 0;
+  }
+
+  private readExperiment(): Experiment | null {
+    const builtIn = EXPERIMENTS[this.experiment];
+    const parsed = builtIn
+      ? checkSchema('experiment', EXPERIMENT_SCHEMA, builtIn)
+      : parseJson('experiment', readFileSync(this.experiment, 'utf8')).andThen(
+          value => checkSchema('experiment', EXPERIMENT_SCHEMA, value),
+        );
+    if (parsed.isErr()) {
+      const lines = parsed.error.findings.map(formatFinding);
+      this.context.stderr.write(`${lines.join('\n')}\n`);
+      return null;
+    }
+    const names = this.policy?.split(',') ?? [];
+    const chosen = Object.values(PLACEMENT_POLICY).filter(name =>
+      names.includes(name),
+    );
+    return {
+      ...parsed.value,
+      ...(this.load ? {loads: this.load.split(',').map(Number)} : {}),
+      ...(chosen.length > 0 ? {policies: chosen} : {}),
+      ...(this.seed ? {seed: Number(this.seed)} : {}),
+    };
+  }
+
+  private writeReports(experiment: Experiment, figures: RunFigures[]): void {
+    mkdirSync(this.out, {recursive: true});
+    const base = join(this.out, experiment.name);
+    const result = {experiment, figures};
+    writeFileSync(`${base}.json`, `${JSON.stringify(result, null, 2)}\n`);
+    writeFileSync(`${base}.md`, renderMarkdown(experiment, figures));
+    writeFileSync(`${base}.html`, renderHtml(experiment, figures));
+  }
+}
+
+const cli = new Cli({binaryName: 'fescuespool-bench'});
+cli.register(RunCommand);
+cli.register(Builtins.HelpCommand);
+process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
