--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -5,6 +5,10 @@
 import {CALL_END} from './constants.js';
 import {accountKey} from './fleet.js';
 
+/** Callers leave after this multiple of their deadline. */
+const PATIENCE = 1.5;
+const NO_DEADLINE_MS = 120_000;
+
 /** How a call ended. */
 export type CallEnd = (typeof CALL_END)[keyof typeof CALL_END];
 
@@ -23,6 +27,11 @@
   readonly onToken?: (position: number) => void;
 }
 
+/** Last event of a stream that could not be ended whole. */
+interface StreamError {
+  readonly error?: {readonly code: string; readonly outcome: string};
+}
+
 /** What the caller received. */
 export interface CallResult {
   readonly end: CallEnd;
@@ -55,17 +64,23 @@
     let isDone = false;
     let requestId = '';
     let retryAfterS: number | null = null;
-    const finish = (end: CallEnd, problem: Problem | null = null): void => {
+    let problem: Problem | null = null;
+    const patience = setTimeout(
+      () => req.destroy(),
+      (call.deadlineMs ?? NO_DEADLINE_MS) * PATIENCE,
+    );
+    const finish = (end: CallEnd, refusal: Problem | null = null): void => {
+      clearTimeout(patience);
       const expected = expectedAnswer(
         promptText({model: '', messages}),
         call.maxTokens,
       );
       resolve({
         end,
-        requestId: problem?.requestId ?? requestId,
+        requestId: refusal?.requestId ?? requestId,
         text,
         isRight: end === CALL_END.WHOLE && text === expected,
-        problem,
+        problem: refusal,
         firstTokenMs,
         totalMs: performance.now() - startedAt,
         tokens,
@@ -101,7 +116,12 @@
             isDone = true;
             continue;
           }
-          const parsed = JSON.parse(event.data) as ChatChunk;
+          const parsed = JSON.parse(event.data) as ChatChunk & StreamError;
+          if (parsed.error) {
+            const {code, outcome} = parsed.error;
+            problem = {reason: code, outcome, requestId} as Problem;
+            continue;
+          }
           const content = parsed.choices?.[0]?.delta?.content;
           if (!content) continue;
           firstTokenMs ??= performance.now() - startedAt;
@@ -110,7 +130,9 @@
           text += content;
         }
       });
-      res.on('error', () => finish(CALL_END.BROKEN));
+      res.on('error', () =>
+        problem ? finish(CALL_END.REFUSED, problem) : finish(CALL_END.BROKEN),
+      );
       res.on('end', () => {
         if (res.statusCode !== 200) {
           finish(CALL_END.REFUSED, JSON.parse(raw) as Problem);
--- a/packages/bench/src/experiment.ts
+++ b/packages/bench/src/experiment.ts
@@ -1,4 +1,4 @@
-import {sleep} from '@fescuespool/common';
+import {newId, sleep} from '@fescuespool/common';
 import type {PlacementPolicyName} from '@fescuespool/coordination';
 import {promptText} from '@fescuespool/protocol';
 import {Balancer} from './balancer.js';
@@ -30,6 +30,10 @@
 const KILLED_ENTRY = 'entry-2';
 /** Time in milliseconds after the deadlines for the last answers. */
 const DRAIN_MS = 1_500;
+/** Most sends of one request. */
+const MAX_TRIES = 4;
+/** Pause in milliseconds before a broken request is sent again. */
+const RESEND_DELAY_MS = 100;
 
 interface Answered {
   readonly arrival: Arrival;
@@ -71,6 +75,41 @@
   };
 }
 
+/**
+ * A caller whose connection breaks sends again under the same key, to another
+ * entry. Times count from when the request was due, not from when it was sent.
+ */
+async function callUntilSettled(
+  balancer: Balancer,
+  arrival: Arrival,
+  dueAt: number,
+): Promise<Answered> {
+  const {account, prompt, maxTokens, deadlineMs} = arrival;
+  const key = newId();
+  for (let tries = 1; ; tries++) {
+    const elapsedMs = performance.now() - dueAt;
+    const result = await callChat({
+      url: balancer.entryUrl(),
+      account,
+      service: 'assist',
+      prompt,
+      maxTokens,
+      deadlineMs: Math.max(1, Math.round(deadlineMs - elapsedMs)),
+      stream: true,
+      key,
+    });
+    const totalMs = performance.now() - dueAt;
+    const isOver = totalMs >= deadlineMs || tries >= MAX_TRIES;
+    if (result.end !== CALL_END.BROKEN || isOver) {
+      const waitedMs = totalMs - result.totalMs;
+      const firstTokenMs =
+        result.firstTokenMs === null ? null : result.firstTokenMs + waitedMs;
+      return {arrival, result: {...result, totalMs, firstTokenMs}};
+    }
+    await sleep(RESEND_DELAY_MS);
+  }
+}
+
 /** Sends the arrivals at their times, whatever becomes of the earlier ones. */
 async function sendArrivals(
   fleet: Fleet,
@@ -83,25 +122,7 @@
   for (const arrival of arrivals) {
     const waitMs = startedAt + arrival.atMs - performance.now();
     if (waitMs > 1) await sleep(waitMs);
-    const {account, prompt, maxTokens, deadlineMs} = arrival;
-    const dueAt = startedAt + arrival.atMs;
-    const sentLateMs = performance.now() - dueAt;
-    const call = callChat({
-      url: balancer.entryUrl(),
-      account,
-      service: 'assist',
-      prompt,
-      maxTokens,
-      deadlineMs,
-      stream: true,
-    });
-    calls.push(
-      call.then(result => ({
-        arrival,
-        // Times count from when the request was due, not from when it was sent.
-        result: {...result, totalMs: result.totalMs + Math.max(0, sentLateMs)},
-      })),
-    );
+    calls.push(callUntilSettled(balancer, arrival, startedAt + arrival.atMs));
   }
   const answered = await Promise.all(calls);
   balancer.close();
@@ -133,6 +154,8 @@
     goodput: own.length === 0 ? 1 : good.length / own.length,
     firstTokenP95Ms: percentile(firsts, PERCENTILE),
     tokenIntervalP95Ms: percentile(intervals, PERCENTILE),
+    late: own.filter(item => item.result.isRight && !isInTime(item)).length,
+    ends: countEnds(own.map(item => item.result)),
   };
 }
 
@@ -220,7 +243,6 @@
       goodput: good / Math.max(1, measured.length),
       tiers: experiment.tiers.map(({tier}) => tierFigures(tier, measured)),
       prefillRatio: await prefillRatio(fleet, answered),
-      ends: countEnds(measured.map(item => item.result)),
       breaches: findBreaches(results, records),
       upperBound: upperBound(
         experiment,
--- a/packages/bench/src/experiment_types.ts
+++ b/packages/bench/src/experiment_types.ts
@@ -66,6 +66,9 @@
   readonly goodput: number;
   readonly firstTokenP95Ms: number | null;
   readonly tokenIntervalP95Ms: number | null;
+  /** Whole answers that came after the deadline. */
+  readonly late: number;
+  readonly ends: Readonly<Record<string, number>>;
 }
 
 /** Figures of one policy at one load. */
@@ -77,7 +80,6 @@
   readonly tiers: readonly TierFigures[];
   /** Prompt tokens computed over the unique tokens of what was served. */
   readonly prefillRatio: number;
-  readonly ends: Readonly<Record<string, number>>;
   readonly breaches: readonly string[];
   /** Goodput that total capacity allows in tier order. */
   readonly upperBound: number;
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 import {Builtins, Cli, Command, Option} from 'clipanion';
 import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import PQueue from 'p-queue';
 import {findBoundBreaches} from './bounds.js';
 import {runExperiment} from './experiment.js';
 import type {Experiment, RunFigures} from './experiment_types.js';
@@ -11,6 +12,23 @@
 import {EXPERIMENTS, SIX_ENGINES} from './experiments.js';
 import {renderHtml, renderMarkdown} from './report.js';
 
+function formatRun(run: RunFigures): string {
+  const tiers = run.tiers.map(tier => tier.goodput.toFixed(2)).join(' ');
+  const [top] = run.tiers;
+  return [
+    `load ${run.load} ${run.policy}: goodput ${run.goodput.toFixed(3)}`,
+    `(${tiers})`,
+    `bound ${run.upperBound.toFixed(2)}`,
+    `prefill ${run.prefillRatio.toFixed(2)}`,
+    `top p95 first ${top?.firstTokenP95Ms} ms`,
+    `interval ${top?.tokenIntervalP95Ms} ms`,
+    ...run.tiers.map(
+      ({tier, late, ends}) =>
+        `\n    ${tier}: late ${late}, ${JSON.stringify(ends)}`,
+    ),
+  ].join(', ');
+}
+
 class RunCommand extends Command {
   static override paths = [Command.Default];
   static override usage = Command.Usage({
@@ -34,6 +52,9 @@
     description: 'policies, separated by commas',
   });
   seed = Option.String('--seed', {description: 'seed of the arrivals'});
+  parallel = Option.String('--parallel', '3', {
+    description: 'policies that run side by side',
+  });
   out = Option.String('--out', 'results', {description: 'folder of reports'});
 
   async execute(): Promise<number> {
@@ -41,21 +62,7 @@
     if (!experiment) return 2;
     const {stdout} = this.context;
     stdout.write(`experiment ${experiment.name} seed ${experiment.seed}\n`);
-    const figures: RunFigures[] = [];
-    for (const load of experiment.loads) {
-      for (const policy of experiment.policies) {
-        const run = await runExperiment(experiment, policy, load);
-        figures.push(run);
-        const goodput = run.goodput.toFixed(3);
-        const tiers = run.tiers.map(tier => tier.goodput.toFixed(2)).join(' ');
-        stdout.write(
-          `load ${load} ${policy}: goodput ${goodput} (${tiers}), ` +
-            `prefill ${run.prefillRatio.toFixed(2)}, ` +
-            `bound ${run.upperBound.toFixed(2)}, ` +
-            `ends ${JSON.stringify(run.ends)}\n`,
-        );
-      }
-    }
+    const figures = await this.runAll(experiment);
     this.writeReports(experiment, figures);
     const breaches = findBoundBreaches(experiment, figures);
     for (const breach of breaches) stdout.write(`BREACH ${breach}\n`);
@@ -63,6 +70,21 @@
     return breaches.length > 0 ? 1 : 0;
   }
 
+  /** Runs the policies of a load side by side, a few at a time. */
+  private async runAll(experiment: Experiment): Promise<RunFigures[]> {
+    const queue = new PQueue({concurrency: Number(this.parallel)});
+    const runs = experiment.loads.flatMap(load =>
+      experiment.policies.map(policy =>
+        queue.add(async () => {
+          const run = await runExperiment(experiment, policy, load);
+          this.context.stdout.write(`${formatRun(run)}\n`);
+          return run;
+        }),
+      ),
+    );
+    return Promise.all(runs);
+  }
+
   private readExperiment(): Experiment | null {
     const builtIn = EXPERIMENTS[this.experiment];
     const parsed = builtIn
--- /dev/null
+++ b/packages/bench/src/slopes.ts
@@ -0,0 +1,229 @@
+#!/usr/bin/env node
+import {sleep} from '@fescuespool/common';
+import Table from 'cli-table3';
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {measureCell} from './cell_cost.js';
+import type {FleetPlan} from './fleet.js';
+import {Fleet, waitFor} from './fleet.js';
+import {callJson} from './http_json.js';
+import {makeConfig} from './local_plan.js';
+import {percentile} from './histogram.js';
+import {smallPlan} from './test_plan.js';
+import {Traffic} from './traffic.js';
+import {CONTROL_PATH} from '@fescuespool/stand-ins';
+
+const SETTLE_MS = 5_000;
+const MEASURE_MS = 8_000;
+const FLEET_SIZES = [4, 16, 32, 64] as const;
+const ENGINE_COUNTS = [2, 12, 24] as const;
+const ACCOUNT_COUNTS = [100, 14_000] as const;
+const CHAT_RATES = [0, 20, 60] as const;
+const CONFIG_CHANGES = 8;
+const WAITING_COUNTS = [10, 1_000, 100_000] as const;
+const SEED = 5;
+const BYTES_PER_MB = 1_048_576;
+const MICROS_PER_MS = 1_000;
+
+/** What one daemon used over a time. */
+interface Usage {
+  readonly cpuPercent: number;
+  readonly rssMb: number;
+  readonly sentPerSecond: number;
+  readonly receivedPerSecond: number;
+}
+
+interface Stats {
+  readonly cpuMicros: number;
+  readonly rssBytes: number;
+  readonly peerBytes: {readonly sent: number; readonly received: number};
+}
+
+async function readStats(fleet: Fleet): Promise<Stats[]> {
+  const urls = [...fleet.daemons.values()].map(daemon => daemon.operatorUrl);
+  const answers = await Promise.all(
+    urls.map(url => callJson(`${url}/stats`, 'GET')),
+  );
+  return answers.map(answer => answer.body as Stats);
+}
+
+async function platformCalls(fleet: Fleet): Promise<number> {
+  const url = fleet.platformUrl + CONTROL_PATH.STATS;
+  const {body} = await callJson(url, 'GET');
+  const {calls} = body as {calls: Record<string, number>};
+  return Object.values(calls).reduce((sum, count) => sum + count, 0);
+}
+
+/** Mean and highest usage of the daemons of a fleet over a time. */
+async function measure(
+  fleet: Fleet,
+  ms = MEASURE_MS,
+): Promise<{mean: Usage; highest: Usage; platformPerSecond: number}> {
+  const before = await readStats(fleet);
+  const callsBefore = await platformCalls(fleet);
+  const startedAt = performance.now();
+  await sleep(ms);
+  const after = await readStats(fleet);
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const calls = (await platformCalls(fleet)) - callsBefore;
+  const usages = after.map((stats, index): Usage => {
+    const first = before[index]!;
+    const cpuMs = (stats.cpuMicros - first.cpuMicros) / MICROS_PER_MS;
+    return {
+      cpuPercent: cpuMs / seconds / 10,
+      rssMb: stats.rssBytes / BYTES_PER_MB,
+      sentPerSecond: (stats.peerBytes.sent - first.peerBytes.sent) / seconds,
+      receivedPerSecond:
+        (stats.peerBytes.received - first.peerBytes.received) / seconds,
+    };
+  });
+  const fold = (combine: (values: number[]) => number): Usage => ({
+    cpuPercent: combine(usages.map(usage => usage.cpuPercent)),
+    rssMb: combine(usages.map(usage => usage.rssMb)),
+    sentPerSecond: combine(usages.map(usage => usage.sentPerSecond)),
+    receivedPerSecond: combine(usages.map(usage => usage.receivedPerSecond)),
+  });
+  return {
+    mean: fold(values => values.reduce((a, b) => a + b, 0) / values.length),
+    highest: fold(values => Math.max(...values)),
+    platformPerSecond: calls / seconds,
+  };
+}
+
+async function withFleet<T>(
+  plan: FleetPlan,
+  use: (fleet: Fleet) => Promise<T>,
+): Promise<T> {
+  const fleet = await Fleet.start({...plan, settings: {logLevel: 'warn'}});
+  try {
+    await sleep(SETTLE_MS);
+    return await use(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
+const rows: Array<Record<string, string | number>> = [];
+
+function addRow(
+  subject: string,
+  size: number,
+  figures: Awaited<ReturnType<typeof measure>>,
+): void {
+  const {mean, highest, platformPerSecond} = figures;
+  const row = {
+    subject,
+    size,
+    'cpu % mean': mean.cpuPercent.toFixed(2),
+    'cpu % highest': highest.cpuPercent.toFixed(2),
+    'rss MB mean': mean.rssMb.toFixed(0),
+    'rss MB highest': highest.rssMb.toFixed(0),
+    'sent B/s mean': mean.sentPerSecond.toFixed(0),
+    'received B/s mean': mean.receivedPerSecond.toFixed(0),
+    'sent B/s highest': highest.sentPerSecond.toFixed(0),
+    'platform calls/s': platformPerSecond.toFixed(1),
+  };
+  rows.push(row);
+  process.stdout.write(`${JSON.stringify(row)}\n`);
+}
+
+async function measureFleetSizes(): Promise<void> {
+  for (const daemons of FLEET_SIZES) {
+    const plan = smallPlan({daemons, models: 1, applications: 1});
+    addRow('daemons, idle', daemons, await withFleet(plan, measure));
+  }
+}
+
+async function measureEngines(): Promise<void> {
+  for (const models of ENGINE_COUNTS) {
+    const plan = smallPlan({daemons: 4, models, applications: 0});
+    addRow('engines, idle', models, await withFleet(plan, measure));
+  }
+}
+
+async function measureTraffic(): Promise<void> {
+  for (const rate of CHAT_RATES) {
+    const plan = smallPlan({models: 6, applications: 1, daemons: 4, slots: 32});
+    const figures = await withFleet(plan, async fleet => {
+      const traffic = new Traffic(fleet, {
+        chatsPerSecond: rate,
+        bookingsPerSecond: 0,
+        seed: SEED,
+        accounts: ['customs', 'tariffs'],
+        maxTokens: 20,
+        deadlineMs: 30_000,
+      });
+      const measured = await measure(fleet);
+      await traffic.stop();
+      return measured;
+    });
+    addRow('chats a second, 4 daemons', rate, figures);
+  }
+}
+
+async function measureAccounts(): Promise<void> {
+  for (const count of ACCOUNT_COUNTS) {
+    const accounts: Record<string, {tier: string; weight: number}> = {};
+    for (let i = 0; i < count; i++) {
+      accounts[`account-${i}`] = {tier: 'low', weight: 1};
+    }
+    const config = makeConfig(accounts);
+    const plan = smallPlan({models: 1, overrides: {config}});
+    await withFleet(plan, async fleet => {
+      addRow('accounts, idle', count, await measure(fleet));
+      const times: number[] = [];
+      for (let i = 0; i < CONFIG_CHANGES; i++) {
+        times.push(await timeChange(fleet, i + 1));
+      }
+      const highest = percentile(times, 100);
+      process.stdout.write(
+        `configuration change with ${count} accounts: in force everywhere ` +
+          `after ${percentile(times, 50)} ms (median), ${highest} ms (highest)\n`,
+      );
+      addRow('accounts, after changes', count, await measure(fleet));
+    });
+  }
+}
+
+async function timeChange(fleet: Fleet, base: number): Promise<number> {
+  const startedAt = performance.now();
+  const account = {keyHashes: ['0'.repeat(63) + base], tier: 'low'};
+  const patch = {clientAccounts: {[`added-${base}`]: account}};
+  const url = `${fleet.daemon('entry-1').operatorUrl}/config/patch`;
+  await callJson(url, 'POST', {baseVersion: base, patch});
+  const ids = [...fleet.daemons.keys()];
+  await waitFor('the version is in force', async () => {
+    const versions = await Promise.all(ids.map(id => fleet.versionOf(id)));
+    return versions.every(version => version > base);
+  });
+  return performance.now() - startedAt;
+}
+
+async function measureWaiting(): Promise<void> {
+  for (const waiting of WAITING_COUNTS) {
+    const cost = await measureCell(waiting);
+    process.stdout.write(
+      `grant with ${waiting} waiting: ${cost.microsPerGrant.toFixed(1)} µs, ` +
+        `tick ${cost.tickMs.toFixed(2)} ms, ` +
+        `${cost.bytesPerWaiting.toFixed(0)} bytes a waiting request\n`,
+    );
+  }
+}
+
+const parts: Readonly<Record<string, () => Promise<void>>> = {
+  waiting: measureWaiting,
+  daemons: measureFleetSizes,
+  engines: measureEngines,
+  traffic: measureTraffic,
+  accounts: measureAccounts,
+};
+const chosen = process.argv.slice(2);
+for (const [name, part] of Object.entries(parts)) {
+  if (chosen.length === 0 || chosen.includes(name)) await part();
+}
+if (rows.length > 0) {
+  const table = new Table({head: Object.keys(rows[0]!)});
+  for (const row of rows) table.push(Object.values(row));
+  process.stdout.write(`${table.toString()}\n`);
+  mkdirSync('results', {recursive: true});
+  writeFileSync('results/slopes.json', JSON.stringify(rows, null, 2));
+}
--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -21,6 +21,7 @@
   GrantAnswer,
   GrantRequest,
   LoadReport,
+  ProgressReport,
   ReleaseReport,
   RunningRequest,
   UpstreamSpec,
@@ -97,12 +98,18 @@
     if (waiting) this.shedder.refuse(waiting, REFUSAL_REASON.PREEMPTED);
   }
 
-  /** Records the first token of a run. */
-  firstToken(requestId: string): void {
-    const run = this.runs.get(requestId);
+  /** Records the progress of a run. */
+  progress(report: ProgressReport): void {
+    const run = this.runs.get(report.requestId);
     if (!run) return;
+    const isFirst = !run.hasFirstToken;
     run.hasFirstToken = true;
-    this.kick();
+    if (report.tokenIntervalMs !== null) {
+      const upstream = this.upstreams.get(run.upstreamId);
+      upstream?.observeInterval(report.tokenIntervalMs);
+      judgeStragglers([...this.upstreams.values()]);
+    }
+    if (isFirst) this.kick();
   }
 
   /** Frees the slot of a run that has ended and learns from it. */
@@ -197,6 +204,13 @@
     this.kick();
   }
 
+  /** Refuses what can't be in time and preempts for what is urgent. */
+  checkDeadlines(): void {
+    this.lastTickMs = this.options.clock.monotonicMs();
+    if (!this.options.policy.honoursTiers) return;
+    this.shedder.shedAndPreempt(this.lastTickMs);
+  }
+
   /** Hands the cell over: waiting requests go to the next dispatcher. */
   close(): void {
     clearInterval(this.timer);
@@ -357,10 +371,8 @@
       this.options.onStale();
       return;
     }
-    const now = this.options.clock.monotonicMs();
-    this.lastTickMs = now;
-    if (this.options.policy.honoursTiers) this.shedder.shedAndPreempt(now);
-    this.dropOrphans(now);
+    this.checkDeadlines();
+    this.dropOrphans(this.lastTickMs);
     this.kick();
   }
 
--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -115,6 +115,10 @@
 export const DECODE_WEIGHT = 0.2;
 /** Smoothing factor of measured rates. */
 export const RATE_SMOOTHING = 0.2;
+/** Factor above the present interval from which a sample weighs more. */
+export const SLOW_SAMPLE_FACTOR = 2;
+/** Smoothing factor of such a sample. */
+export const SLOW_SAMPLE_SMOOTHING = 0.5;
 /** Factor below its peers at which an upstream is a straggler. */
 export const STRAGGLER_FACTOR = 3;
 /** Slots that a straggler keeps, to be probed with. */
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -113,6 +113,14 @@
   readonly computedPromptTokens: number | null;
 }
 
+/** Progress of a run: its first token, then its speed from time to time. */
+export interface ProgressReport {
+  readonly requestId: string;
+  readonly service: string;
+  /** Mean time between tokens since the last report; null at the first token. */
+  readonly tokenIntervalMs: number | null;
+}
+
 /** Load that an upstream reports; it lags behind the truth. */
 export interface LoadReport {
   readonly running: number;
--- a/packages/coordination/src/upstream_state.ts
+++ b/packages/coordination/src/upstream_state.ts
@@ -1,6 +1,8 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
 import {
   RATE_SMOOTHING,
+  SLOW_SAMPLE_FACTOR,
+  SLOW_SAMPLE_SMOOTHING,
   STRAGGLER_FACTOR,
   STRAGGLER_SLOTS,
   UPSTREAM_HEALTH,
@@ -54,13 +56,13 @@
   lastLoad: LoadReport | null = null;
   /** Sticky for this incarnation of the upstream. */
   private saidLeaving = false;
-  private bestTokenIntervalMs: number;
+  /** Shortest interval measured; null before the first measurement. */
+  private bestTokenIntervalMs: number | null = null;
 
   constructor(public spec: UpstreamSpec) {
     this.prefixes = new PrefixMap(spec.cacheTokens);
     this.prefillRate = spec.prefillTokensPerSecond;
     this.tokenIntervalMs = MS_PER_SECOND / spec.decodeTokensPerSecond;
-    this.bestTokenIntervalMs = this.tokenIntervalMs;
   }
 
   /** Health in the order in which it matters. */
@@ -149,9 +151,27 @@
 
   /** Ratio of the measured token interval to the best seen. */
   slowdown(): number {
+    if (this.bestTokenIntervalMs === null) return 1;
     return this.tokenIntervalMs / this.bestTokenIntervalMs;
   }
 
+  /** Learns the time in milliseconds between two tokens of a stream. */
+  observeInterval(sampleMs: number): void {
+    if (this.bestTokenIntervalMs === null) {
+      this.tokenIntervalMs = sampleMs;
+      this.bestTokenIntervalMs = sampleMs;
+      return;
+    }
+    // A sudden slowdown has to be seen within seconds; speed is trusted slowly.
+    const isSlow = sampleMs > this.tokenIntervalMs * SLOW_SAMPLE_FACTOR;
+    const weight = isSlow ? SLOW_SAMPLE_SMOOTHING : RATE_SMOOTHING;
+    this.tokenIntervalMs += weight * (sampleMs - this.tokenIntervalMs);
+    this.bestTokenIntervalMs = Math.min(
+      this.bestTokenIntervalMs,
+      this.tokenIntervalMs,
+    );
+  }
+
   /** Takes a load report over. */
   applyLoad(load: LoadReport): void {
     this.failedPolls = 0;
@@ -177,12 +197,7 @@
       }
     }
     if (decodeMs !== null && outputTokens > 1) {
-      const sample = decodeMs / (outputTokens - 1);
-      this.tokenIntervalMs = smooth(this.tokenIntervalMs, sample);
-      this.bestTokenIntervalMs = Math.min(
-        this.bestTokenIntervalMs,
-        this.tokenIntervalMs,
-      );
+      this.observeInterval(decodeMs / (outputTokens - 1));
     }
   }
 
--- a/packages/daemon/src/chat_handler.ts
+++ b/packages/daemon/src/chat_handler.ts
@@ -60,9 +60,10 @@
     isJoinable: true,
   };
   await dispatch(parts, scope, work, grant => {
-    const onFirstToken = (): void => {
+    const onProgress = (tokenIntervalMs: number | null): void => {
       if (grant.isJoined) return;
-      parts.grants.firstToken(scope.serviceName, scope.requestId);
+      const {requestId, serviceName: service} = scope;
+      parts.grants.progress({requestId, service, tokenIntervalMs});
     };
     const {context} = parts;
     return new ChatRun({
@@ -71,7 +72,7 @@
       grant,
       body,
       sink,
-      onFirstToken,
+      onProgress,
     }).run();
   });
 }
--- a/packages/daemon/src/chat_run.ts
+++ b/packages/daemon/src/chat_run.ts
@@ -15,6 +15,7 @@
 import type {Result} from 'neverthrow';
 import type {ChatSink} from './chat_sink.js';
 import {
+  FIRST_PROGRESS_MS,
   MAX_RESUME_TRIES,
   RESUME_DELAY_MS,
   STREAM_SILENCE_MS,
@@ -45,7 +46,11 @@
   /** Body for the upstream, which always streams. */
   readonly body: string;
   readonly sink: ChatSink;
-  readonly onFirstToken: () => void;
+  /**
+   * Called at the first token with null, then ever more rarely with the mean
+   * time in milliseconds between tokens since the last call.
+   */
+  readonly onProgress: (tokenIntervalMs: number | null) => void;
 }
 
 /** One try of a chat completion at an upstream. */
@@ -57,6 +62,9 @@
   private received = 0;
   private usage: ChatChunk['usage'] = null;
   private hasDied = false;
+  /** Time and tokens at the last report of progress. */
+  private reported = {atMs: 0, tokens: 0};
+  private reportAfterMs: number = FIRST_PROGRESS_MS;
 
   constructor(private readonly options: ChatRunOptions) {
     this.startedAtMs = options.context.clock.monotonicMs();
@@ -145,9 +153,22 @@
     if (chunk.choices?.[0]?.delta?.content == null) return;
     this.received++;
     this.lastTokenAtMs = this.options.context.clock.monotonicMs();
-    if (this.firstTokenAtMs !== null) return;
-    this.firstTokenAtMs = this.lastTokenAtMs;
-    this.options.onFirstToken();
+    if (this.firstTokenAtMs === null) {
+      this.firstTokenAtMs = this.lastTokenAtMs;
+      this.reported = {atMs: this.lastTokenAtMs, tokens: this.received};
+      this.options.onProgress(null);
+    } else {
+      this.reportSpeed(this.lastTokenAtMs);
+    }
+  }
+
+  private reportSpeed(now: number): void {
+    const {atMs, tokens} = this.reported;
+    const elapsedMs = now - atMs;
+    if (elapsedMs < this.reportAfterMs) return;
+    this.options.onProgress(elapsedMs / Math.max(1, this.received - tokens));
+    this.reported = {atMs: now, tokens: this.received};
+    this.reportAfterMs *= 2;
   }
 
   private submit(): Promise<Result<HttpExchange, CallError>> {
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -35,6 +35,8 @@
 /** Time in milliseconds past the deadline that a grant is waited for. */
 export const GRANT_GRACE_MS = 1_000;
 
+/** Time in milliseconds from the first token to the first report of speed. */
+export const FIRST_PROGRESS_MS = 300;
 /** Tries to resume a broken stream. */
 export const MAX_RESUME_TRIES = 3;
 /** Pause in milliseconds before a stream is resumed. */
--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -4,6 +4,7 @@
   GrantRequest,
   Member,
   PlacementPolicy,
+  ProgressReport,
   ReleaseReport,
   RunningRequest,
   UpstreamSpec,
@@ -65,9 +66,9 @@
     this.cells.get(service)?.cancel(requestId);
   }
 
-  /** Records the first token of a run. */
-  firstToken(service: string, requestId: string): void {
-    this.cells.get(service)?.firstToken(requestId);
+  /** Records the progress of a run. */
+  progress(report: ProgressReport): void {
+    this.cells.get(report.service)?.progress(report);
   }
 
   /** Frees the slot of a run. */
--- /dev/null
+++ b/packages/daemon/src/entry_server.test.ts
@@ -0,0 +1,192 @@
+import type {JsonAnswer} from '@fescuespool/bench';
+import {
+  accountKey,
+  callChat,
+  callJson,
+  Fleet,
+  FLEET_PORT,
+  smallPlan,
+} from '@fescuespool/bench';
+import {sleep} from '@fescuespool/common';
+import fc from 'fast-check';
+import type http from 'node:http';
+import net from 'node:net';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+
+const MEGABYTE = 1_048_576;
+const FUZZ_RUNS = 60;
+const MAX_RSS_BYTES = 400 * MEGABYTE;
+
+describe('the doors of a daemon', () => {
+  let fleet: Fleet;
+  const callerUrl = (): string => fleet.daemon('entry-1').callerUrl;
+  const key = {authorization: `Bearer ${accountKey('customs')}`};
+
+  const post = (
+    path: string,
+    body: unknown,
+    headers: http.OutgoingHttpHeaders = key,
+  ): Promise<JsonAnswer> => callJson(callerUrl() + path, 'POST', body, headers);
+  const chat = (overrides: object): Promise<JsonAnswer> =>
+    post('/v1/chat/completions', {
+      model: 'assist',
+      messages: [{role: 'user', content: 'hello'}],
+      max_tokens: 4,
+      ...overrides,
+    });
+  /** Sends raw bytes and waits until the other side answers or closes. */
+  const sendRaw = (port: number, bytes: Buffer | string): Promise<void> =>
+    new Promise(resolve => {
+      const {address} = fleet.daemon('entry-1');
+      const socket = net.connect({host: address, port}, () => {
+        socket.end(bytes);
+      });
+      socket.on('error', () => resolve());
+      socket.on('close', () => resolve());
+      socket.on('data', () => undefined);
+      setTimeout(() => socket.destroy(), 300);
+    });
+
+  beforeAll(async () => {
+    fleet = await Fleet.start(smallPlan({daemons: 2}));
+  });
+  afterAll(() => fleet.close());
+
+  describe('callers', () => {
+    it('may send a body of 1 MB, and get its own answer', async () => {
+      const prompt = 'x'.repeat(MEGABYTE);
+      const result = await callChat({
+        url: callerUrl(),
+        account: 'customs',
+        service: 'assist',
+        prompt,
+        maxTokens: 4,
+        stream: true,
+        deadlineMs: 300_000,
+      });
+      expect(result).toMatchObject({end: 'whole', isRight: true});
+    });
+
+    it('are refused truthfully, with every finding and its place', async () => {
+      const tooLarge = await chat({
+        messages: [{role: 'user', content: 'x'.repeat(5 * MEGABYTE)}],
+      }).catch(() => null);
+      if (tooLarge) {
+        expect(tooLarge).toMatchObject({
+          status: 413,
+          body: {reason: 'body_too_large', outcome: 'not_run'},
+        });
+      }
+      const malformed = await post('/v1/chat/completions', {
+        messages: [{content: 3}],
+        max_tokens: 0,
+      });
+      expect(malformed).toMatchObject({
+        status: 400,
+        body: {reason: 'bad_request', outcome: 'not_run'},
+      });
+      const {findings} = malformed.body as {findings: Array<{place: string}>};
+      const places = findings.map(finding => finding.place);
+      expect(places).toEqual(
+        expect.arrayContaining(['model', 'messages.0.role', 'max_tokens']),
+      );
+      const unknown = await chat({model: 'nothing'});
+      expect(unknown).toMatchObject({
+        status: 404,
+        body: {reason: 'unknown_service'},
+      });
+      for (const headers of [{}, {authorization: 'Bearer wrong'}]) {
+        const answer = await post('/v1/chat/completions', {}, headers);
+        expect(answer).toMatchObject({
+          status: 401,
+          body: {reason: 'unauthorized', outcome: 'not_run'},
+        });
+      }
+      const prototype = await chat({model: '__proto__'});
+      expect(prototype.status).toBe(404);
+    });
+
+    it('are told both faults of their headers', async () => {
+      const answer = await post(
+        '/services/ledger/x',
+        {},
+        {
+          ...key,
+          'x-request-deadline-ms': 'soon',
+          'idempotency-key': 'k'.repeat(300),
+        },
+      );
+      const {findings} = answer.body as {findings: unknown[]};
+      expect(findings.length).toBe(2);
+    });
+  });
+
+  describe('fuzzing', () => {
+    const expectAlive = async (): Promise<void> => {
+      await sleep(100);
+      const daemon = fleet.daemon('entry-1');
+      expect(daemon.process.isRunning).toBe(true);
+      expect((await chat({})).status).toBe(200);
+      const stats = await callJson(`${daemon.operatorUrl}/stats`, 'GET');
+      const {rssBytes} = stats.body as {rssBytes: number};
+      expect(rssBytes).toBeLessThan(MAX_RSS_BYTES);
+    };
+
+    it('of caller and operator bodies ends in a client error', async () => {
+      const {operatorUrl} = fleet.daemon('entry-1');
+      await fc.assert(
+        fc.asyncProperty(fc.json({maxDepth: 4}), async text => {
+          const value = JSON.parse(text) as unknown;
+          const answers = await Promise.all([
+            post('/v1/chat/completions', value),
+            callJson(`${operatorUrl}/config/patch`, 'POST', value),
+            callJson(`${operatorUrl}/config/validate`, 'POST', value),
+          ]);
+          for (const {status} of answers) {
+            expect(status).toBeGreaterThanOrEqual(400);
+            expect(status).toBeLessThan(500);
+          }
+        }),
+        {numRuns: FUZZ_RUNS},
+      );
+      await expectAlive();
+    });
+
+    it('of raw bytes on every port leaves the daemon alive', async () => {
+      const ports = [FLEET_PORT.CALLER, FLEET_PORT.OPERATOR, FLEET_PORT.PEER];
+      await fc.assert(
+        fc.asyncProperty(
+          fc.constantFrom(...ports),
+          fc.uint8Array({minLength: 1, maxLength: 2_000}),
+          (port, bytes) => sendRaw(port, Buffer.from(bytes)),
+        ),
+        {numRuns: 30},
+      );
+      await expectAlive();
+    });
+
+    it('of peer messages leaves the daemon alive', async () => {
+      const method = fc.constantFrom(
+        'membership.probe',
+        'grant.request',
+        'grant.release',
+        'cell.register',
+        'cell.replicate',
+        'config.announce',
+        'claim.status',
+        'poison.announce',
+        'nothing',
+      );
+      await fc.assert(
+        fc.asyncProperty(method, fc.jsonValue(), async (name, params) => {
+          const message = {jsonrpc: '2.0', id: 1, method: name, params};
+          await sendRaw(FLEET_PORT.PEER, `${JSON.stringify(message)}\n`);
+        }),
+        {numRuns: 30},
+      );
+      const endless = 'x'.repeat(6 * MEGABYTE);
+      await sendRaw(FLEET_PORT.PEER, endless);
+      await expectAlive();
+    });
+  });
+});
--- a/packages/daemon/src/grant_client.ts
+++ b/packages/daemon/src/grant_client.ts
@@ -3,6 +3,7 @@
   GrantAnswer,
   GrantRequest,
   Member,
+  ProgressReport,
   ReleaseReport,
   RunningRequest,
 } from '@fescuespool/coordination';
@@ -99,15 +100,12 @@
     this.running.set(run.request.requestId, run);
   }
 
-  /** Reports the first token of a run. */
-  firstToken(service: string, requestId: string): void {
-    const owner = this.context.dispatcherOf(service);
+  /** Reports the progress of a run; a lost report is not repeated. */
+  progress(report: ProgressReport): void {
+    const owner = this.context.dispatcherOf(report.service);
     if (!owner) return;
-    if (this.isSelf(owner)) this.dispatcher().firstToken(service, requestId);
-    else {
-      const params = {service, requestId};
-      this.context.network.notify(owner, PEER_METHOD.FIRST_TOKEN, params);
-    }
+    if (this.isSelf(owner)) this.dispatcher().progress(report);
+    else this.context.network.notify(owner, PEER_METHOD.PROGRESS, report);
   }
 
   /** Reports the end of a run until a dispatcher has acknowledged it. */
--- /dev/null
+++ b/packages/daemon/src/open_requests.test.ts
@@ -0,0 +1,56 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {REQUEST_PHASE} from './constants.js';
+import type {OpenRequest} from './open_requests.js';
+import {OpenRequests} from './open_requests.js';
+import {createOpenRequest} from './request_scope.js';
+
+const ARRIVAL = fc.record({
+  tier: fc.integer({min: 0, max: 3}),
+  preemptible: fc.boolean(),
+  phase: fc.constantFrom(...Object.values(REQUEST_PHASE)),
+});
+
+describe('OpenRequests', () => {
+  it('never refuses a tier while a lower one could make room', () => {
+    fc.assert(
+      fc.property(
+        fc.array(ARRIVAL, {maxLength: 40}),
+        fc.integer({min: 1, max: 6}),
+        (arrivals, maxOpen) => {
+          const open = new OpenRequests(() => maxOpen);
+          let kept: OpenRequest[] = [];
+          for (const {tier, preemptible, phase} of arrivals) {
+            const request = createOpenRequest(tier, preemptible);
+            request.phase = phase;
+            const isAdded = open.add(request);
+            kept = kept.filter(item => item.endReason === null);
+            if (isAdded) kept.push(request);
+            const lower = kept.filter(
+              item =>
+                item.tier > tier &&
+                (item.preemptible || item.phase !== REQUEST_PHASE.RUNNING),
+            );
+            if (!isAdded) expect(lower).toEqual([]);
+            expect(open.size).toBeLessThanOrEqual(maxOpen);
+          }
+        },
+      ),
+    );
+  });
+
+  it('sheds what waits before what runs, and the lowest tier first', () => {
+    const open = new OpenRequests(() => 3);
+    const [normal, low, running] = [2, 3, 3].map(tier => {
+      const request = createOpenRequest(tier, true);
+      open.add(request);
+      return request;
+    });
+    running!.phase = REQUEST_PHASE.RUNNING;
+    low!.phase = REQUEST_PHASE.WAITING;
+    for (let i = 0; i < 2; i++) open.add(createOpenRequest(0, true));
+    expect(low!.endReason).toBe('entry_overloaded');
+    expect(running!.endReason).toBe('entry_overloaded');
+    expect(normal!.endReason).toBeNull();
+  });
+});
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -7,6 +7,7 @@
   PEER_METHOD,
   POISON_SCHEMA,
   PROBE_SCHEMA,
+  PROGRESS_SCHEMA,
   REGISTER_SCHEMA,
   RELEASE_SCHEMA,
   REPLICATE_SCHEMA,
@@ -56,8 +57,8 @@
     [PEER_METHOD.CANCEL]: checked(REQUEST_REF_SCHEMA, ref =>
       dispatcher.cancel(ref.service, ref.requestId),
     ),
-    [PEER_METHOD.FIRST_TOKEN]: checked(REQUEST_REF_SCHEMA, ref =>
-      dispatcher.firstToken(ref.service, ref.requestId),
+    [PEER_METHOD.PROGRESS]: checked(PROGRESS_SCHEMA, report =>
+      dispatcher.progress(report),
     ),
     [PEER_METHOD.RELEASE]: checked(RELEASE_SCHEMA, report => {
       dispatcher.release(report);
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -3,7 +3,7 @@
   PROBE: 'membership.probe',
   GRANT: 'grant.request',
   CANCEL: 'grant.cancel',
-  FIRST_TOKEN: 'grant.firstToken',
+  PROGRESS: 'grant.progress',
   RELEASE: 'grant.release',
   PREEMPT: 'grant.preempt',
   VERIFY: 'grant.verify',
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -82,6 +82,13 @@
 /** A message that names one request of a service. */
 export type RequestRef = z.infer<typeof REQUEST_REF_SCHEMA>;
 
+/** Schema of the progress of a run. */
+export const PROGRESS_SCHEMA = z.object({
+  requestId: SHORT,
+  service: SHORT,
+  tokenIntervalMs: z.number().min(0).nullable(),
+});
+
 /** Schema of a list of requests, as question and as answer. */
 export const REQUEST_LIST_SCHEMA = z.object({
   requestIds: z.array(SHORT).max(MAX_LIST),
