Let urgency beat lower tiers only, and late requests stand behind

Cause: at 3 x every request neared its deadline, became urgent and took the first slot anywhere, so prefixes were thrown away; requests that could not be in time any more were started and filled the window. Ruled out: dropping late requests at once and not preempting for them: the property test found an expired request while a lower tier ran. Change: in a tier those whose best engine is free go first, then urgent ones, then late ones, and only then the next tier; a straggler's prefill is priced by its slowdown.

--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -281,6 +281,7 @@
       deadlineAtMs: now + request.remainingMs,
       expectedTokens,
       tag: this.waiting.makeTag(request, promptTokens + expectedTokens),
+      isLate: false,
       victimId: null,
       answer,
     };
--- a/packages/coordination/src/placement_search.ts
+++ b/packages/coordination/src/placement_search.ts
@@ -1,6 +1,5 @@
 import {TOP_TIER_MAX_WAIT_MS, URGENT_SLACK_MS} from './constants.js';
 import type {PlacementPolicy} from './placement.js';
-import {minBy} from './placement.js';
 import type {Placement, TierQueue, WaitingRequest} from './tier_queue.js';
 import type {GrantRequest} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
@@ -58,33 +57,68 @@
   return usable;
 }
 
-/** Finds the first waiting request that can start now, in tier order. */
+/** Placements that are taken only where nothing better is found. */
+interface Fallbacks {
+  /** An urgent request, on any free slot. */
+  urgent: Placement | null;
+  /** A request that will hardly meet its deadline. */
+  late: Placement | null;
+}
+
+/**
+ * Finds the next request to start. In a tier, those whose best engine is free go
+ * first; an urgent one takes any free slot before a lower tier gets it. Among
+ * equals urgency would only trade one deadline for another, and a prefix on top.
+ */
 export function findPlacement(
   queue: TierQueue,
   upstreams: readonly UpstreamState[],
   options: SearchOptions,
 ): Placement | null {
-  const {policy, nowMs, random} = options;
+  const {policy} = options;
   const hasFreeSlot = upstreams.some(upstream => upstream.freeSlots > 0);
   if (policy.honoursSlots && !hasFreeSlot) return null;
   const ahead = new Map<string, number>();
-  for (const waiting of queue.window()) {
-    const {request, expectedTokens, deadlineAtMs} = waiting;
-    const candidates = candidatesFor(request, upstreams, options);
-    if (candidates.length === 0) continue;
-    const remainingMs = deadlineAtMs - nowMs;
-    const context = {nowMs, expectedTokens, ahead, remainingMs, random};
-    const best = policy.choose(request, candidates, context);
-    if (!best) continue;
-    if (!policy.honoursSlots) return {waiting, upstream: best};
-    if (best.freeSlots > 0) return {waiting, upstream: best};
-    if (policy.honoursTiers && isUrgent(waiting, upstreams, nowMs)) {
-      const free = candidates.filter(upstream => upstream.freeSlots > 0);
-      const first =
-        policy.choose(request, free, context) ?? minBy(free, () => 0);
-      if (first) return {waiting, upstream: first};
+  for (const tier of queue.windows()) {
+    const fallbacks: Fallbacks = {urgent: null, late: null};
+    for (const waiting of tier) {
+      const found = tryPlace(waiting, upstreams, options, ahead, fallbacks);
+      if (found) return found;
     }
-    ahead.set(best.spec.id, (ahead.get(best.spec.id) ?? 0) + 1);
+    const fallback = fallbacks.urgent ?? fallbacks.late;
+    if (fallback) return fallback;
   }
   return null;
 }
+
+function tryPlace(
+  waiting: WaitingRequest,
+  upstreams: readonly UpstreamState[],
+  options: SearchOptions,
+  ahead: Map<string, number>,
+  fallbacks: Fallbacks,
+): Placement | null {
+  const {policy, nowMs, random} = options;
+  const {request, expectedTokens, deadlineAtMs} = waiting;
+  const candidates = candidatesFor(request, upstreams, options);
+  if (candidates.length === 0) return null;
+  const remainingMs = deadlineAtMs - nowMs;
+  const context = {nowMs, expectedTokens, ahead, remainingMs, random};
+  const best = policy.choose(request, candidates, context);
+  if (!best) return null;
+  const isFree = best.freeSlots > 0;
+  if (!policy.honoursSlots) return {waiting, upstream: best};
+  if (!policy.honoursTiers) return isFree ? {waiting, upstream: best} : null;
+  waiting.isLate =
+    best.serviceSeconds(request, expectedTokens) * MS > remainingMs;
+  const {isLate} = waiting;
+  if (isFree && !isLate) return {waiting, upstream: best};
+  if (isFree) fallbacks.late ??= {waiting, upstream: best};
+  ahead.set(best.spec.id, (ahead.get(best.spec.id) ?? 0) + 1);
+  if (isFree || isLate || fallbacks.urgent) return null;
+  if (!isUrgent(waiting, upstreams, nowMs)) return null;
+  const free = candidates.filter(upstream => upstream.freeSlots > 0);
+  const first = policy.choose(request, free, context);
+  if (first) fallbacks.urgent = {waiting, upstream: first};
+  return null;
+}
--- a/packages/coordination/src/shedder.ts
+++ b/packages/coordination/src/shedder.ts
@@ -99,8 +99,8 @@
         this.refuse(waiting, REFUSAL_REASON.DEADLINE_UNREACHABLE);
       }
     }
-    for (const waiting of [...this.queue.window()]) {
-      this.preemptFor(waiting, now);
+    for (const tier of this.queue.windows()) {
+      for (const waiting of tier) this.preemptFor(waiting, now);
     }
   }
 
--- a/packages/coordination/src/tier_queue.ts
+++ b/packages/coordination/src/tier_queue.ts
@@ -15,6 +15,8 @@
   readonly expectedTokens: number;
   /** Order inside the tier, from the shares of the accounts. */
   readonly tag: number;
+  /** Whether it will hardly meet its deadline, as last judged. */
+  isLate: boolean;
   /** Run that is being preempted for this request. */
   victimId: string | null;
   readonly answer: (answer: GrantAnswer) => void;
@@ -134,12 +136,21 @@
     for (const item of this.items.values()) yield item.waiting;
   }
 
-  /** The first requests of each tier, the highest tier first. */
-  *window(): Iterable<WaitingRequest> {
+  /**
+   * The first requests of each tier, the highest tier first. Those judged late
+   * stand at the end, so that they do not fill the window.
+   */
+  *windows(): Iterable<readonly WaitingRequest[]> {
     for (const list of this.tiers) {
-      if (!list) continue;
-      const end = Math.min(list.length, PLACEMENT_WINDOW);
-      for (let i = 0; i < end; i++) yield list[i]!.waiting;
+      if (!list || list.length === 0) continue;
+      const window: WaitingRequest[] = [];
+      const late: WaitingRequest[] = [];
+      for (const {waiting} of list) {
+        if (!waiting.isLate) window.push(waiting);
+        else if (late.length < PLACEMENT_WINDOW) late.push(waiting);
+        if (window.length >= PLACEMENT_WINDOW) break;
+      }
+      yield [...window, ...late];
     }
   }
 
--- a/packages/coordination/src/upstream_state.ts
+++ b/packages/coordination/src/upstream_state.ts
@@ -43,8 +43,8 @@
 export class UpstreamState {
   readonly prefixes: PrefixMap;
   readonly running = new Map<string, ActiveRun>();
-  /** Measured prefill rate in tokens a second. */
-  prefillRate: number;
+  /** Measured prefill rate in tokens a second, while not a straggler. */
+  private measuredPrefillRate: number;
   /** Measured time in milliseconds between two tokens of one stream. */
   tokenIntervalMs: number;
   /** Measured time in milliseconds of one application call. */
@@ -61,7 +61,7 @@
 
   constructor(public spec: UpstreamSpec) {
     this.prefixes = new PrefixMap(spec.cacheTokens);
-    this.prefillRate = spec.prefillTokensPerSecond;
+    this.measuredPrefillRate = spec.prefillTokensPerSecond;
     this.tokenIntervalMs = MS_PER_SECOND / spec.decodeTokensPerSecond;
   }
 
@@ -73,6 +73,15 @@
     return UPSTREAM_HEALTH.UP;
   }
 
+  /**
+   * Prefill rate in tokens a second. What slows decoding down slows prefill as
+   * well, and is seen there first.
+   */
+  get prefillRate(): number {
+    if (!this.isStraggler) return this.measuredPrefillRate;
+    return this.measuredPrefillRate / this.slowdown();
+  }
+
   /** Whether new work may be sent. */
   get isUsable(): boolean {
     const {health} = this;
@@ -192,8 +201,8 @@
       // Time in the engine's own queue makes this a lower bound of the rate.
       const sample = (computed * MS_PER_SECOND) / firstTokenMs;
       const bounded = Math.min(sample, this.spec.prefillTokensPerSecond * 4);
-      if (bounded > this.prefillRate || this.running.size <= 1) {
-        this.prefillRate = smooth(this.prefillRate, bounded);
+      if (bounded > this.measuredPrefillRate || this.running.size <= 1) {
+        this.measuredPrefillRate = smooth(this.measuredPrefillRate, bounded);
       }
     }
     if (decodeMs !== null && outputTokens > 1) {
@@ -206,7 +215,7 @@
     if (!this.spec.isModel) {
       return Math.max(0, this.serviceMs / MS_PER_SECOND - elapsed);
     }
-    const prefill = run.uncachedTokens / this.prefillRate;
+    const prefill = run.uncachedTokens / this.measuredPrefillRate;
     const decode = (run.expectedTokens * this.tokenIntervalMs) / MS_PER_SECOND;
     const least = this.tokenIntervalMs / MS_PER_SECOND;
     return Math.max(least, prefill + decode - elapsed);
