Preempt again when the freed slot went to another urgent request

A preempted run's slot went to an older request of the same tier, and the one that had asked for it was looked at again only 50 ms later. Ruled out: the order of expiry and preemption inside a tick. Change: the end of a preempted run looks at once for who is still urgent. Property tests have fixed seeds, which their counterexamples print.

--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -359,6 +359,8 @@
     this.upstreams.get(run.upstreamId)?.running.delete(run.request.requestId);
     run.release();
     this.kick();
+    // The slot may have gone to another urgent request than the one it was for.
+    if (run.preemptedAtMs !== null) this.shedder.preemptForUrgent();
   }
 
   /** Whether the process was stopped, so that what it counts is old. */
--- a/packages/coordination/src/prefix_map.test.ts
+++ b/packages/coordination/src/prefix_map.test.ts
@@ -6,6 +6,9 @@
 
 const BLOCKS = 8;
 
+/** Counterexamples print it; change it to explore. */
+const SEED = 20_261_204;
+
 describe('PrefixMap', () => {
   it('stays in its bound and forgets the end of a prefix first', () => {
     const prompt = fc.array(fc.integer({min: 0, max: 3}), {maxLength: 6});
@@ -27,6 +30,7 @@
           );
         }
       }),
+      {seed: SEED},
     );
   });
 
--- a/packages/coordination/src/rendezvous.test.ts
+++ b/packages/coordination/src/rendezvous.test.ts
@@ -7,6 +7,9 @@
   maxLength: 12,
 });
 
+/** Counterexamples print it; change it to explore. */
+const SEED = 20_261_204;
+
 describe('rendezvous', () => {
   describe('rankMembers', () => {
     it('does not depend on the order of the members', () => {
@@ -15,6 +18,7 @@
           const reversed = [...members].reverse();
           expect(rankMembers(reversed, key)).toEqual(rankMembers(members, key));
         }),
+        {seed: SEED},
       );
     });
   });
@@ -28,6 +32,7 @@
           const rest = members.filter(id => id !== leaver);
           expect(ownerOf(rest, key)).toBe(owner);
         }),
+        {seed: SEED},
       );
     });
 
--- a/packages/coordination/src/shedder.ts
+++ b/packages/coordination/src/shedder.ts
@@ -99,6 +99,12 @@
         this.refuse(waiting, REFUSAL_REASON.DEADLINE_UNREACHABLE);
       }
     }
+    this.preemptForUrgent();
+  }
+
+  /** Preempts lower runs for all urgent requests at the head of their tiers. */
+  preemptForUrgent(): void {
+    const now = this.options.clock.monotonicMs();
     for (const tier of this.queue.windows()) {
       for (const waiting of tier) this.preemptFor(waiting, now);
     }
