Find expired requests by buckets of their deadlines

Cause: a cell looked at every waiting request in each tick of 50 ms and priced all engines for it. Ruled out: a slower tick; deadlines would be kept less exactly. Change: deadlines in buckets of 25 ms; early refusals and preemption look at the heads of the tiers only, and at no tier below which nothing runs.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,6 +3,7 @@
 export * from './cell_options.js';
 export * from './cell_status.js';
 export * from './constants.js';
+export * from './deadline_buckets.js';
 export * from './errors.js';
 export * from './length_estimator.js';
 export * from './membership.js';
--- a/packages/coordination/src/shedder.ts
+++ b/packages/coordination/src/shedder.ts
@@ -88,25 +88,33 @@
 
   /** Refuses what can't be in time and preempts for what is urgent. */
   shedAndPreempt(now: number): void {
+    for (const waiting of this.queue.expired(now)) {
+      this.refuse(waiting, REFUSAL_REASON.DEADLINE_EXPIRED);
+    }
+    this.refuseHopeless(now);
+    this.preemptForUrgent();
+  }
+
+  /** Refuses early at the head of the lowest tier that waits or runs. */
+  private refuseHopeless(now: number): void {
     const states = this.states();
-    for (const waiting of [...this.queue.all()]) {
-      if (waiting.deadlineAtMs <= now) {
-        this.refuse(waiting, REFUSAL_REASON.DEADLINE_EXPIRED);
-      } else if (
-        isHopeless(waiting, states, now) &&
-        !hasLowerWork(waiting.request.tier, this.queue, this.runs.values())
-      ) {
+    for (const window of this.queue.windows()) {
+      const tier = window[0]?.request.tier ?? 0;
+      if (hasLowerWork(tier, this.queue, this.runs.values())) continue;
+      for (const waiting of window) {
+        if (!isHopeless(waiting, states, now)) continue;
         this.refuse(waiting, REFUSAL_REASON.DEADLINE_UNREACHABLE);
       }
     }
-    this.preemptForUrgent();
   }
 
   /** Preempts lower runs for all urgent requests at the head of their tiers. */
   preemptForUrgent(): void {
     const now = this.options.clock.monotonicMs();
-    for (const tier of this.queue.windows()) {
-      for (const waiting of tier) this.preemptFor(waiting, now);
+    for (const window of this.queue.windows()) {
+      const tier = window[0]?.request.tier ?? 0;
+      if (!lowestRun(this.runs.values(), tier)) continue;
+      for (const waiting of window) this.preemptFor(waiting, now);
     }
   }
 
--- a/packages/coordination/src/tier_queue.ts
+++ b/packages/coordination/src/tier_queue.ts
@@ -1,6 +1,7 @@
 import type {Queue, QueueAddOptions} from 'p-queue';
 import {AccountShares} from './account_shares.js';
 import {PLACEMENT_WINDOW} from './constants.js';
+import {DeadlineBuckets} from './deadline_buckets.js';
 import type {GrantAnswer, GrantRequest} from './types.js';
 import type {UpstreamState} from './upstream_state.js';
 
@@ -51,6 +52,7 @@
   private readonly tiers: QueuedItem[][] = [];
   private readonly shares: AccountShares[] = [];
   private readonly items = new Map<string, QueuedItem>();
+  private readonly deadlines = new DeadlineBuckets<WaitingRequest>();
   private placement: Placement | null = null;
   private taken: Placement | null = null;
 
@@ -82,6 +84,7 @@
     const {tier, requestId} = waiting.request;
     const item = {waiting, run};
     this.items.set(requestId, item);
+    this.deadlines.add(waiting, waiting.deadlineAtMs);
     const list = (this.tiers[tier] ??= []);
     list.splice(upperBound(list, waiting.tag), 0, item);
   }
@@ -119,6 +122,7 @@
     const item = this.items.get(requestId);
     if (!item) return undefined;
     this.items.delete(requestId);
+    this.deadlines.remove(item.waiting, item.waiting.deadlineAtMs);
     const list = this.tiers[item.waiting.request.tier]!;
     let index = upperBound(list, item.waiting.tag) - 1;
     while (list[index] !== item) index--;
@@ -131,6 +135,11 @@
     return this.items.get(requestId)?.waiting;
   }
 
+  /** Waiting requests whose deadline has passed. */
+  expired(nowMs: number): WaitingRequest[] {
+    return this.deadlines.expired(nowMs);
+  }
+
   /** All waiting requests, in no order. */
   *all(): Iterable<WaitingRequest> {
     for (const item of this.items.values()) yield item.waiting;
