--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -69,6 +69,7 @@
       localAddress: settings.bindAddress,
       tls: peerTls ? () => peerTls.material : undefined,
     });
+    peerTls?.onChange(material => this.network.setTls(material));
     const address =
       settings.peer.advertise ?? `${settings.peer.host}:${settings.peer.port}`;
     this.membership = new Membership({
--- a/packages/transport/src/peer_network.ts
+++ b/packages/transport/src/peer_network.ts
@@ -54,6 +54,12 @@
     return (server.address() as net.AddressInfo).port;
   }
 
+  /** Uses new certificates for the connections that are accepted from now on. */
+  setTls(material: TlsMaterial): void {
+    if (this.server instanceof tls.Server)
+      this.server.setSecureContext(material);
+  }
+
   /** Calls a method of a member; a timeout in milliseconds ends the wait. */
   async call(
     member: Member,
