Ask other members before doubting one, and entries before preempting

Cause: with one direction cut, one daemon's failed probes made everyone doubt the dispatcher; it refuted, members moved to its successor and back, and each move left runs counted at two places. The urgent then preempted for slots that were free.

--- a/examples/grants.mjs
+++ b/examples/grants.mjs
@@ -20,6 +20,7 @@
     random: Math.random,
     preempt: run => end(run.request.requestId),
     onStale: () => undefined,
+    verify: () => cell.verified(),
     replicate: () => undefined,
     cancelOrphan: () => undefined,
     count: event => console.log('counted', event),
--- a/examples/membership.mjs
+++ b/examples/membership.mjs
@@ -17,6 +17,8 @@
     versions: () => ({config: 0, vms: 0}),
     sendProbe: async (member, message) =>
       nodes.get(member.id)?.receive(message) ?? null,
+    askHelper: async (helper, target) =>
+      nodes.get(helper.id)?.reaches(target) ?? false,
     onNewer: () => undefined,
     onChange: () => undefined,
   });
--- a/packages/bench/src/cell_cost.ts
+++ b/packages/bench/src/cell_cost.ts
@@ -58,6 +58,7 @@
       random: Math.random,
       preempt: () => undefined,
       onStale: () => undefined,
+      verify: () => undefined,
       replicate: ({request}) => running.push(request.requestId),
       cancelOrphan: () => undefined,
       count: () => undefined,
--- a/packages/bench/src/experiment_types.ts
+++ b/packages/bench/src/experiment_types.ts
@@ -27,6 +27,8 @@
   tiers: z.array(TIER_SHARE).min(1),
   /** Conversations that are open at once and share their prefixes. */
   conversations: z.number().int().min(1),
+  /** Turns of the shortest and the longest conversation. */
+  turns: z.tuple([z.number().int(), z.number().int()]),
   /** Tokens of the shortest and the longest opening of a conversation. */
   openingTokens: z.tuple([z.number(), z.number()]),
   /** Tokens of the shortest and the longest turn. */
--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -28,6 +28,7 @@
   ].map(engine => ({...engine, cacheTokens: 16_384})),
   tiers: TIERS,
   conversations: 40,
+  turns: [2, 7],
   openingTokens: [60, 6_000],
   turnTokens: [10, 300],
   maxTokens: [8, 100],
@@ -36,6 +37,19 @@
   killEntryAt: [3],
 };
 
+/** Long histories of many turns before engines that compute prompts slowly. */
+export const LONG_HISTORIES: Experiment = {
+  ...SIX_ENGINES,
+  name: 'long-histories',
+  seed: 4_711,
+  engines: SIX_ENGINES.engines.map(engine => ({
+    ...engine,
+    prefillTokensPerSecond: engine.prefillTokensPerSecond / 2,
+  })),
+  conversations: 36,
+  turns: [6, 18],
+};
+
 const LARGE = SIX_ENGINES.engines[0]!;
 const MIDDLE = SIX_ENGINES.engines[2]!;
 const SMALL = SIX_ENGINES.engines[4]!;
@@ -56,5 +70,6 @@
 /** Experiments by name. */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   [SIX_ENGINES.name]: SIX_ENGINES,
+  [LONG_HISTORIES.name]: LONG_HISTORIES,
   [THIRTEEN_ENGINES.name]: THIRTEEN_ENGINES,
 };
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -89,7 +89,8 @@
     const draw = random();
     const account = accounts[draw < 0.7 ? 0 : draw < 0.85 ? 1 : 2]!;
     const opening = drawLength(random, experiment.openingTokens);
-    const turnsLeft = 2 + Math.floor(random() * 6);
+    const [fewest, most] = experiment.turns;
+    const turnsLeft = fewest + Math.floor(random() * (most - fewest + 1));
     const text = makeText(random, opening);
     return {tierIndex, account, text, turnsLeft, isOpen: false};
   };
--- a/packages/coordination/src/cell.test.ts
+++ b/packages/coordination/src/cell.test.ts
@@ -72,6 +72,7 @@
         },
         replicate: () => undefined,
         onStale: () => undefined,
+        verify: () => cell.verified(),
         cancelOrphan: () => undefined,
         count: () => undefined,
         ...overrides,
--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -162,6 +162,11 @@
     this.endRunsOf(memberId, run => requestIds.has(run.request.requestId));
   }
 
+  /** Notes that the entries have told which runs go on. */
+  verified(): void {
+    this.shedder.verified();
+  }
+
   /** Drops what a lost entry waits for; its runs are kept for a while. */
   entryLost(memberId: string): void {
     for (const waiting of [...this.waiting.all()]) {
--- a/packages/coordination/src/cell_options.ts
+++ b/packages/coordination/src/cell_options.ts
@@ -17,6 +17,12 @@
   readonly random: () => number;
   /** Asks the entry of a run to cancel it for a higher tier. */
   readonly preempt: (run: ActiveRun) => void;
+  /**
+   * Asks the entries which runs have ended; the cell's `verified` is called when
+   * they have answered. Precedes preemption, so that none is made for slots that
+   * are free.
+   */
+  readonly verify: () => void;
   /** Called when the process was stopped and the cell must be rebuilt. */
   readonly onStale: () => void;
   /** Tells the successor where a request is about to run. */
--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -81,6 +81,8 @@
 export const PROBE_FANOUT = 4;
 /** Time in milliseconds after which a probe has failed. */
 export const PROBE_TIMEOUT_MS = 600;
+/** Members that are asked to probe one that does not answer. */
+export const INDIRECT_PROBES = 2;
 /** Time in milliseconds in which a suspected member can refute. */
 export const SUSPICION_MS = 900;
 /** Time in milliseconds for which a dead member is remembered and probed. */
@@ -102,6 +104,8 @@
 export const ORPHAN_TTL_MS = 10_000;
 /** Age in milliseconds from which a dispatcher asks whether a run goes on. */
 export const VERIFY_AGE_MS = 2_000;
+/** Time in milliseconds for which the runs count as verified. */
+export const VERIFIED_FOR_MS = 1_000;
 /** Time in milliseconds for which a finished run can be joined. */
 export const FINISHED_TTL_MS = 60_000;
 /** Most finished runs that a cell remembers. */
--- a/packages/coordination/src/membership.test.ts
+++ b/packages/coordination/src/membership.test.ts
@@ -35,6 +35,11 @@
           this.cut.has(member.id);
         return target && !isCut ? target.receive(message) : null;
       },
+      askHelper: async (helper, target) => {
+        const isCut = this.cut.has(helper.id) || this.cut.has(id);
+        const other = this.nodes.get(helper.id);
+        return !isCut && other !== undefined && other.reaches(target);
+      },
       onNewer: () => undefined,
       onChange: () => undefined,
     });
@@ -83,12 +88,17 @@
   it('keeps a member that only one other can not reach', async () => {
     const group = new Group(ids);
     await group.rounds(12);
+    const {incarnation} = group.nodes.get('m02')!.me;
     group.cut.add('m01>m02');
-    await group.rounds(12);
-    expect(group.viewOf('m01')).not.toContain('m02');
-    for (const id of ids.filter(other => other !== 'm01')) {
-      expect(group.viewOf(id)).toContain('m02');
+    for (let round = 0; round < 12; round++) {
+      await group.rounds(1);
+      for (const id of ids.filter(other => other !== 'm01')) {
+        expect(group.viewOf(id)).toContain('m02');
+      }
     }
+    expect(group.viewOf('m01')).not.toContain('m02');
+    // Nobody doubted it, so it had nothing to refute.
+    expect(group.nodes.get('m02')!.me.incarnation).toBe(incarnation);
   });
 
   it('takes back a member that restarts with a lower incarnation', async () => {
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -2,6 +2,7 @@
 import {
   DEAD_MEMBER_MEMORY_MS,
   GOSSIP_REPEATS,
+  INDIRECT_PROBES,
   MAX_GOSSIP_ITEMS,
   MEMBER_STATE,
   PROBE_FANOUT,
@@ -50,6 +51,8 @@
   readonly clock: Clock;
   readonly versions: () => StateVersions;
   readonly sendProbe: SendProbe;
+  /** Asks a helper whether it reaches a member that this process does not. */
+  readonly askHelper: (helper: Member, target: Member) => Promise<boolean>;
   /** Called with a peer that has a higher version of some state. */
   readonly onNewer: (member: Member, versions: StateVersions) => void;
   /** Called after each change of the usable members. */
@@ -134,6 +137,13 @@
     await Promise.all(targets.map(member => this.probe(member)));
   }
 
+  /** Probes a member for a peer; tells whether it answers. */
+  async reaches(target: Member): Promise<boolean> {
+    const answer = await this.options.sendProbe(target, this.message());
+    if (answer) this.heard(answer);
+    return answer !== null;
+  }
+
   /** Handles a probe and makes its answer. */
   receive(message: ProbeMessage): ProbeMessage {
     this.heard(message);
@@ -159,8 +169,26 @@
 
   private async probe(member: Member): Promise<void> {
     const answer = await this.options.sendProbe(member, this.message());
-    if (answer) this.heard(answer);
-    else this.unheard(member);
+    if (answer) {
+      this.heard(answer);
+      return;
+    }
+    this.markUnreachable(member);
+    // One broken link must not make everyone doubt a member.
+    if (!(await this.isReachedByOthers(member))) this.unheard(member);
+  }
+
+  private async isReachedByOthers(target: Member): Promise<boolean> {
+    const helpers = [...this.known.values()]
+      .filter(entry => !entry.isUnreachable && entry.member.id !== target.id)
+      .filter(entry => entry.member.state === MEMBER_STATE.ALIVE)
+      .map(entry => entry.member)
+      .sort(() => Math.random() - 0.5)
+      .slice(0, INDIRECT_PROBES);
+    const answers = await Promise.all(
+      helpers.map(helper => this.options.askHelper(helper, target)),
+    );
+    return answers.includes(true);
   }
 
   private heard(message: ProbeMessage): void {
@@ -185,13 +213,16 @@
     }
   }
 
+  private markUnreachable(member: Member): void {
+    const entry = this.known.get(member.id);
+    if (!entry || entry.isUnreachable) return;
+    entry.isUnreachable = true;
+    this.options.onChange();
+  }
+
   private unheard(member: Member): void {
     const entry = this.known.get(member.id);
     if (!entry) return;
-    if (!entry.isUnreachable) {
-      entry.isUnreachable = true;
-      this.options.onChange();
-    }
     const {state} = entry.member;
     if (state === MEMBER_STATE.ALIVE) {
       this.store({...entry.member, state: MEMBER_STATE.SUSPECT});
--- a/packages/coordination/src/shedder.ts
+++ b/packages/coordination/src/shedder.ts
@@ -3,6 +3,7 @@
   GRANT_KIND,
   PREEMPTION_TIMEOUT_MS,
   REFUSAL_REASON,
+  VERIFIED_FOR_MS,
 } from './constants.js';
 import {isUrgent} from './placement_search.js';
 import {findVictim, lowestRun} from './preemption.js';
@@ -18,6 +19,8 @@
 
 /** Decides what a cell refuses and preempts: always the lowest tier first. */
 export class Shedder {
+  private verifiedAtMs = -Infinity;
+
   constructor(
     private readonly options: CellOptions,
     private readonly queue: TierQueue,
@@ -118,6 +121,12 @@
     }
   }
 
+  /** Notes that what is counted as running does run. */
+  verified(): void {
+    this.verifiedAtMs = this.options.clock.monotonicMs();
+    this.preemptForUrgent();
+  }
+
   /** Preempts a lower run for a waiting request where it is urgent. */
   preemptFor(waiting: WaitingRequest, now: number): void {
     if (!this.options.policy.honoursTiers) return;
@@ -128,6 +137,10 @@
     if (!isUrgent(waiting, states, now)) return;
     const victim = findVictim(waiting, states, now);
     if (!victim) return;
+    if (now - this.verifiedAtMs > VERIFIED_FOR_MS) {
+      this.options.verify();
+      return;
+    }
     waiting.victimId = victim.request.requestId;
     this.preempt(victim);
   }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -30,6 +30,10 @@
 export const DISPATCHER_RETRY_MS = 40;
 /** Time in milliseconds for a peer to acknowledge a report. */
 export const REPORT_TIMEOUT_MS = 1_000;
+/** Time in milliseconds for an entry to tell which runs go on. */
+export const VERIFY_TIMEOUT_MS = 200;
+/** Age in milliseconds below which a grant may still be on its way. */
+export const VERIFY_MIN_AGE_MS = 300;
 /** Tries of a report to a dispatcher. */
 export const MAX_REPORT_TRIES = 5;
 /** Time in milliseconds past the deadline that a grant is waited for. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,6 @@
 import type {Logger, Metrics} from '@fescuespool/common';
 import {sleep, SYSTEM_CLOCK} from '@fescuespool/common';
-import type {Member} from '@fescuespool/coordination';
+import type {Member, ProbeMessage} from '@fescuespool/coordination';
 import {
   MEMBER_STATE,
   Membership,
@@ -54,6 +54,9 @@
   private readonly peerHandlers: ReturnType<typeof createPeerHandlers>;
   private usableBefore = new Set<string>();
   private isLeaving = false;
+  private isChangePending = false;
+  /** Dispatcher of each service among the present members. */
+  private readonly owners = new Map<string, string | null>();
 
   constructor(
     private readonly settings: Settings,
@@ -82,17 +85,8 @@
       },
       clock,
       versions: () => this.sync.versions,
-      sendProbe: async (member, message) => {
-        const answer = await callPeer(
-          this.network,
-          member,
-          PEER_METHOD.PROBE,
-          message,
-          PROBE_SCHEMA,
-          PROBE_TIMEOUT_MS,
-        );
-        return answer.unwrapOr(null);
-      },
+      sendProbe: (member, message) => this.sendProbe(member, message),
+      askHelper: (helper, target) => this.askHelper(helper, target),
       onNewer: (member, versions) => void this.sync.pullFrom(member, versions),
       onChange: () => this.membersChanged(),
     });
@@ -245,8 +239,37 @@
     return keeper;
   }
 
+  private async sendProbe(
+    member: Member,
+    message: ProbeMessage,
+  ): Promise<ProbeMessage | null> {
+    const answer = await callPeer(
+      this.network,
+      member,
+      PEER_METHOD.PROBE,
+      message,
+      PROBE_SCHEMA,
+      PROBE_TIMEOUT_MS,
+    );
+    return answer.unwrapOr(null);
+  }
+
+  private async askHelper(helper: Member, target: Member): Promise<boolean> {
+    const answer = await this.network.call(
+      helper,
+      PEER_METHOD.PROBE_FOR,
+      {target},
+      PROBE_TIMEOUT_MS,
+    );
+    return answer.isOk() && answer.value === true;
+  }
+
   private dispatcherOf(service: string): Member | null {
-    const owner = ownerOf(this.membership.candidates(), service);
+    let owner = this.owners.get(service);
+    if (owner === undefined) {
+      owner = ownerOf(this.membership.candidates(), service);
+      this.owners.set(service, owner);
+    }
     return owner === null ? null : this.membership.find(owner);
   }
 
@@ -258,8 +281,18 @@
     }
   }
 
+  /** Several changes in one turn of the event loop are handled together. */
   private membersChanged(): void {
-    if (!this.context) return;
+    this.owners.clear();
+    if (this.isChangePending) return;
+    this.isChangePending = true;
+    setImmediate(() => {
+      this.isChangePending = false;
+      if (!this.stop.signal.aborted) this.handleMemberChanges();
+    });
+  }
+
+  private handleMemberChanges(): void {
     const usable = new Set(
       this.membership.others
         .map(member => member.id)
--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -23,7 +23,11 @@
 import {PEER_METHOD, REQUEST_LIST_SCHEMA} from '@fescuespool/protocol';
 import type {ActiveVersion, VmListing} from '@fescuespool/state';
 import {SERVICE_KIND, VM_STATE} from '@fescuespool/state';
-import {REPORT_TIMEOUT_MS} from './constants.js';
+import {
+  REPORT_TIMEOUT_MS,
+  VERIFY_MIN_AGE_MS,
+  VERIFY_TIMEOUT_MS,
+} from './constants.js';
 import {callPeer} from './peer_call.js';
 import {cancelStream, pollLoad} from './upstream_client.js';
 import type {DaemonContext} from './types.js';
@@ -38,6 +42,8 @@
   private readonly policy: PlacementPolicy;
   private readonly timer: NodeJS.Timeout;
   private readonly verifyTimer: NodeJS.Timeout;
+  /** Services whose runs are being verified. */
+  private readonly verifying = new Set<string>();
   private leavingVms = new Set<string>();
 
   constructor(
@@ -159,6 +165,7 @@
         random: Math.random,
         preempt: run =>
           this.preempt(run.request.entryId, service, run.request.requestId),
+        verify: () => void this.verifyNow(service),
         onStale: () => this.rebuild(service),
         replicate: run => this.replicate(run),
         cancelOrphan: run => {
@@ -266,26 +273,42 @@
   private async verify(): Promise<void> {
     const questions = [...this.cells.values()].flatMap(cell =>
       [...cell.runsOlderThan(VERIFY_AGE_MS)].map(([entryId, requestIds]) =>
-        this.verifyRuns(cell, entryId, requestIds),
+        this.verifyRuns(cell, entryId, requestIds, REPORT_TIMEOUT_MS),
       ),
     );
     await Promise.all(questions);
   }
 
+  /** Verifies all runs of a cell at once, before it preempts. */
+  private async verifyNow(service: string): Promise<void> {
+    const cell = this.cells.get(service);
+    if (!cell || this.verifying.has(service)) return;
+    this.verifying.add(service);
+    const questions = [...cell.runsOlderThan(VERIFY_MIN_AGE_MS)].map(
+      ([entryId, requestIds]) =>
+        this.verifyRuns(cell, entryId, requestIds, VERIFY_TIMEOUT_MS),
+    );
+    await Promise.all(questions);
+    this.verifying.delete(service);
+    cell.verified();
+  }
+
   private async verifyRuns(
     cell: Cell,
     entryId: string,
     requestIds: readonly string[],
+    timeoutMs: number,
   ): Promise<void> {
     const member = this.context.membership.find(entryId);
     if (!member) return;
-    const ended = await this.askEnded(member, requestIds);
+    const ended = await this.askEnded(member, requestIds, timeoutMs);
     cell.endRuns(entryId, new Set(ended));
   }
 
   private async askEnded(
     member: Member,
     requestIds: readonly string[],
+    timeoutMs: number,
   ): Promise<readonly string[]> {
     if (member.id === this.context.settings.memberId) {
       return this.endedLocally(requestIds);
@@ -296,7 +319,7 @@
       PEER_METHOD.VERIFY,
       {requestIds},
       REQUEST_LIST_SCHEMA,
-      REPORT_TIMEOUT_MS,
+      timeoutMs,
     );
     return answer.isOk() ? answer.value.requestIds : [];
   }
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -6,6 +6,7 @@
   GRANT_REQUEST_SCHEMA,
   PEER_METHOD,
   POISON_SCHEMA,
+  PROBE_FOR_SCHEMA,
   PROBE_SCHEMA,
   PROGRESS_SCHEMA,
   REGISTER_SCHEMA,
@@ -51,6 +52,9 @@
     [PEER_METHOD.PROBE]: checked(PROBE_SCHEMA, message =>
       membership.receive(message),
     ),
+    [PEER_METHOD.PROBE_FOR]: checked(PROBE_FOR_SCHEMA, ({target}) =>
+      membership.reaches(target),
+    ),
     [PEER_METHOD.GRANT]: checked(GRANT_REQUEST_SCHEMA, request =>
       dispatcher.request(request),
     ),
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -1,6 +1,7 @@
 /** Methods of the protocol between daemons. */
 export const PEER_METHOD = {
   PROBE: 'membership.probe',
+  PROBE_FOR: 'membership.probeFor',
   GRANT: 'grant.request',
   CANCEL: 'grant.cancel',
   PROGRESS: 'grant.progress',
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -28,6 +28,9 @@
   changes: z.array(MEMBER).max(MAX_LIST),
 });
 
+/** Schema of a question whether a member can be reached. */
+export const PROBE_FOR_SCHEMA = z.object({target: MEMBER});
+
 /** Schema of a grant request. */
 export const GRANT_REQUEST_SCHEMA = z.object({
   requestId: SHORT,
