End a broken stream with its error event

Cause: the sink gave its headers to writeHead, so that the media type could not be read back when a stream had to end with an error, and callers saw a bare reset. Ruled out: the reset overtaking the event. Change: headers are set one by one; the proof asks for the outcome that the event carries.

--- a/packages/daemon/src/chat_run.test.ts
+++ b/packages/daemon/src/chat_run.test.ts
@@ -65,7 +65,7 @@
       const results = await Promise.all(calls);
       for (const result of results) {
         expect(result.end).not.toBe('whole');
-        if (result.problem) expect(result.problem.outcome).not.toBe('not_run');
+        expect(result.problem?.outcome).toBe('partly_run');
       }
     });
   });
--- a/packages/daemon/src/chat_sink.ts
+++ b/packages/daemon/src/chat_sink.ts
@@ -1,6 +1,11 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
 import type {ChatChunk, ChatUsage} from '@fescuespool/protocol';
-import {formatSse, HEADER, SSE_DONE} from '@fescuespool/protocol';
+import {
+  EVENT_STREAM_MEDIA_TYPE,
+  formatSse,
+  HEADER,
+  SSE_DONE,
+} from '@fescuespool/protocol';
 import {sendJson, writeWithBackPressure} from '@fescuespool/transport';
 import type {ServerResponse} from 'node:http';
 import {MAX_WHOLE_ANSWER_BYTES} from './constants.js';
@@ -27,11 +32,12 @@
     hasStarted: () => res.headersSent,
     chunk: async data => {
       if (!res.headersSent) {
-        res.writeHead(OK, {
-          'content-type': 'text/event-stream',
-          'cache-control': 'no-cache',
-          [HEADER.REQUEST_ID]: requestId,
-        });
+        // Set one by one, because headers given to writeHead can't be read back
+        // when the stream has to end with an error event.
+        res.setHeader('content-type', EVENT_STREAM_MEDIA_TYPE);
+        res.setHeader('cache-control', 'no-cache');
+        res.setHeader(HEADER.REQUEST_ID, requestId);
+        res.writeHead(OK);
       }
       position++;
       return writeWithBackPressure(res, formatSse(data, String(position)));
--- a/packages/daemon/src/entry_server.ts
+++ b/packages/daemon/src/entry_server.ts
@@ -1,6 +1,7 @@
 import {OUTCOME, REFUSAL_REASON} from '@fescuespool/coordination';
 import {
   CHAT_COMPLETIONS_PATH,
+  EVENT_STREAM_MEDIA_TYPE,
   RefusalError,
   SERVICES_PATH_PREFIX,
 } from '@fescuespool/protocol';
@@ -255,7 +256,7 @@
     // An answer that has begun ends in a way that no client takes for whole.
     if (!sendRefusal(res, refusal, requestId)) {
       const event = JSON.stringify({error: {code: reason, outcome}});
-      if (res.getHeader('content-type') === 'text/event-stream') {
+      if (res.getHeader('content-type') === EVENT_STREAM_MEDIA_TYPE) {
         res.write(`data: ${event}\n\n`, () => res.destroy());
       } else {
         res.destroy();
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -42,6 +42,9 @@
 /** Media type of refusals (RFC 9457). */
 export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
 
+/** Media type of server-sent events. */
+export const EVENT_STREAM_MEDIA_TYPE = 'text/event-stream';
+
 /** Path of chat completions. */
 export const CHAT_COMPLETIONS_PATH = '/v1/chat/completions';
 
