Count callers that leave as such

Cause: a caller that left, and a wait that moved on, were counted as preempted. Ruled out: dropping the count; operators ask for each reason. Change: reason caller_gone; a cancelled wait is removed without a count. Conclusion: the preempted counter counts preemptions only.

--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -94,8 +94,8 @@
 
   /** Gives up a waiting request. */
   cancel(requestId: string): void {
-    const waiting = this.waiting.find(requestId);
-    if (waiting) this.shedder.refuse(waiting, REFUSAL_REASON.PREEMPTED);
+    const item = this.waiting.remove(requestId);
+    item?.waiting.answer({kind: GRANT_KIND.MOVED});
   }
 
   /** Records the progress of a run. */
--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -39,6 +39,8 @@
   KEY_REQUIRED: 'key_required',
   UPSTREAM_FAILED: 'upstream_failed',
   UPSTREAM_TIMEOUT: 'upstream_timeout',
+  /** Counted, but nobody is left to be told. */
+  CALLER_GONE: 'caller_gone',
 } as const;
 
 /** Whether a refused request ran; shown to the caller. */
--- a/packages/daemon/src/dispatch.ts
+++ b/packages/daemon/src/dispatch.ts
@@ -20,6 +20,9 @@
 import type {TraceLog} from './trace_log.js';
 import type {DaemonContext} from './types.js';
 
+/** Time in milliseconds after which a shed request may be sent again. */
+const RETRY_AFTER_MS = 1_000;
+
 /** What a request's descriptor adds to its scope. */
 export interface Workload {
   readonly promptTokens: number;
@@ -76,9 +79,9 @@
   scope: RequestScope,
   outcome: Outcome,
 ): RefusalError {
-  const reason = scope.open.endReason ?? REFUSAL_REASON.PREEMPTED;
-  return new RefusalError(reason, outcome, 'a higher tier needs the capacity', {
-    retryAfterMs: 1_000,
+  const reason = scope.open.endReason ?? REFUSAL_REASON.CALLER_GONE;
+  return new RefusalError(reason, outcome, describe(reason), {
+    retryAfterMs: RETRY_AFTER_MS,
   });
 }
 
@@ -157,7 +160,7 @@
   }
   const reason = REFUSAL_REASON.RETRIES_EXHAUSTED;
   throw new RefusalError(reason, OUTCOME.NOT_RUN, describe(reason), {
-    retryAfterMs: 1_000,
+    retryAfterMs: RETRY_AFTER_MS,
   });
 }
 
--- a/packages/daemon/src/grant_client.ts
+++ b/packages/daemon/src/grant_client.ts
@@ -4,6 +4,7 @@
   GrantRequest,
   Member,
   ProgressReport,
+  RefusalReason,
   ReleaseReport,
   RunningRequest,
 } from '@fescuespool/coordination';
@@ -32,14 +33,12 @@
 interface Wait {
   readonly service: string;
   /** Ends the wait at the present dispatcher. */
-  move: () => void;
+  readonly move: () => void;
 }
 
 const MOVED: GrantAnswer = {kind: GRANT_KIND.MOVED};
 
-function refused(
-  reason: (typeof REFUSAL_REASON)[keyof typeof REFUSAL_REASON],
-): WaitedGrant['answer'] {
+function refused(reason: RefusalReason): WaitedGrant['answer'] {
   return {kind: GRANT_KIND.REFUSED, reason, retryAfterMs: null};
 }
 
@@ -77,8 +76,10 @@
     for (;;) {
       const elapsed = clock.monotonicMs() - start;
       const remainingMs = request.remainingMs - elapsed;
-      if (signal.aborted)
-        return {answer: refused(REFUSAL_REASON.PREEMPTED), waitedMs: elapsed};
+      if (signal.aborted) {
+        const answer = refused(REFUSAL_REASON.CALLER_GONE);
+        return {answer, waitedMs: elapsed};
+      }
       if (remainingMs <= 0) {
         const answer = refused(REFUSAL_REASON.DEADLINE_EXPIRED);
         return {answer, waitedMs: elapsed};
