Preempt where the urgent request's prefix is

Cause: a preemption took the youngest run of the lowest tier, wherever it was, and the highest tier took any slot after 150 ms; with long histories each such move computed a long prompt again. Change: a victim costs the time it has spent and the urgent request's prefill on its engine; the slot is then taken by the request it was freed for; any slot after 400 ms.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -132,7 +132,9 @@
 
 /** Slack in milliseconds below which a request takes the first slot. */
 export const URGENT_SLACK_MS = 1_000;
-/** Wait in milliseconds after which the highest tier takes the first slot. */
+/** Wait in milliseconds after which the highest tier takes any slot. */
+export const TOP_TIER_ANY_SLOT_MS = 400;
+/** Wait in milliseconds after which the highest tier preempts. */
 export const TOP_TIER_MAX_WAIT_MS = 150;
 /** Time in milliseconds that a preempted run gets to end. */
 export const PREEMPTION_TIMEOUT_MS = 1_000;
--- a/packages/coordination/src/placement_search.ts
+++ b/packages/coordination/src/placement_search.ts
@@ -1,4 +1,8 @@
-import {TOP_TIER_MAX_WAIT_MS, URGENT_SLACK_MS} from './constants.js';
+import {
+  TOP_TIER_ANY_SLOT_MS,
+  TOP_TIER_MAX_WAIT_MS,
+  URGENT_SLACK_MS,
+} from './constants.js';
 import type {PlacementPolicy} from './placement.js';
 import type {Placement, TierQueue, WaitingRequest} from './tier_queue.js';
 import type {GrantRequest} from './types.js';
@@ -28,7 +32,7 @@
   return Math.min(...seconds) * MS;
 }
 
-/** Whether a request must take the first slot that it can get. */
+/** Whether a request may have a lower run cancelled for it. */
 export function isUrgent(
   waiting: WaitingRequest,
   upstreams: readonly UpstreamState[],
@@ -38,11 +42,37 @@
   if (waiting.request.tier === 0 && waitedMs >= TOP_TIER_MAX_WAIT_MS) {
     return true;
   }
+  return hasShortSlack(waiting, upstreams, nowMs);
+}
+
+function hasShortSlack(
+  waiting: WaitingRequest,
+  upstreams: readonly UpstreamState[],
+  nowMs: number,
+): boolean {
   const slack =
     waiting.deadlineAtMs - nowMs - bestServiceMs(waiting, upstreams);
   return slack < URGENT_SLACK_MS;
 }
 
+/**
+ * Whether a request must take the first slot that it can get, wherever its prefix
+ * is. The highest tier waits a little longer for that than for a preemption.
+ */
+function mustTakeAnySlot(
+  waiting: WaitingRequest,
+  upstreams: readonly UpstreamState[],
+  nowMs: number,
+): boolean {
+  // The slot that a preemption frees must not go to the lower tier again.
+  if (waiting.victimId !== null) return true;
+  const waitedMs = nowMs - waiting.arrivedAtMs;
+  if (waiting.request.tier === 0 && waitedMs >= TOP_TIER_ANY_SLOT_MS) {
+    return true;
+  }
+  return hasShortSlack(waiting, upstreams, nowMs);
+}
+
 function candidatesFor(
   request: GrantRequest,
   upstreams: readonly UpstreamState[],
@@ -116,7 +146,7 @@
   if (isFree) fallbacks.late ??= {waiting, upstream: best};
   ahead.set(best.spec.id, (ahead.get(best.spec.id) ?? 0) + 1);
   if (isFree || isLate || fallbacks.urgent) return null;
-  if (!isUrgent(waiting, upstreams, nowMs)) return null;
+  if (!mustTakeAnySlot(waiting, upstreams, nowMs)) return null;
   const free = candidates.filter(upstream => upstream.freeSlots > 0);
   const first = policy.choose(request, free, context);
   if (first) fallbacks.urgent = {waiting, upstream: first};
--- a/packages/coordination/src/preemption.ts
+++ b/packages/coordination/src/preemption.ts
@@ -1,12 +1,15 @@
+import {PREFILL_WEIGHT} from './constants.js';
 import {minBy} from './placement.js';
 import type {WaitingRequest} from './tier_queue.js';
 import type {ActiveRun, UpstreamState} from './upstream_state.js';
 
 const TIER_WEIGHT = 1e9;
+const MS = 1_000;
 
 /**
  * Chooses the run to cancel for an urgent request: of the lowest tier, and
- * there the one whose computed tokens are fewest. Null where a slot is free or
+ * there the one that costs least: the time that it has spent, and the prefill of the
+ * urgent request on its engine. Null where a slot is free or
  * nothing of a lower tier runs.
  */
 export function findVictim(
@@ -22,10 +25,16 @@
   const lower = usable
     .flatMap(upstream => [...upstream.running.values()])
     .filter(run => isPreemptibleBelow(run, tier));
+  const missMs = new Map(
+    usable.map(upstream => [
+      upstream.spec.id,
+      (upstream.uncachedTokens(waiting.request) * MS) / upstream.prefillRate,
+    ]),
+  );
   return minBy(lower, run => {
     const spentMs = nowMs - run.startedAtMs;
-    const lost = run.hasFirstToken ? run.uncachedTokens + spentMs : spentMs;
-    return lost - run.request.tier * TIER_WEIGHT;
+    const prefillMs = PREFILL_WEIGHT * (missMs.get(run.upstreamId) ?? 0);
+    return spentMs + prefillMs - run.request.tier * TIER_WEIGHT;
   });
 }
 
