Merge the two HTTP listeners and split what had grown

Cause: entry and operator servers each made, listened and closed a server; the entry's request task and the daemon's constructor were long.

--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -179,12 +179,15 @@
   }
 
   private async isReachedByOthers(target: Member): Promise<boolean> {
-    const helpers = [...this.known.values()]
+    const reachable = [...this.known.values()]
       .filter(entry => !entry.isUnreachable && entry.member.id !== target.id)
-      .filter(entry => entry.member.state === MEMBER_STATE.ALIVE)
       .map(entry => entry.member)
-      .sort(() => Math.random() - 0.5)
-      .slice(0, INDIRECT_PROBES);
+      .filter(member => member.state === MEMBER_STATE.ALIVE);
+    const count = Math.min(INDIRECT_PROBES, reachable.length);
+    const helpers = Array.from(
+      {length: count},
+      (_, i) => reachable[(this.nextProbe + i) % reachable.length]!,
+    );
     const answers = await Promise.all(
       helpers.map(helper => this.options.askHelper(helper, target)),
     );
--- a/packages/daemon/src/config_sync.ts
+++ b/packages/daemon/src/config_sync.ts
@@ -1,4 +1,4 @@
-import {sleep} from '@fescuespool/common';
+import {jitterMs, sleep} from '@fescuespool/common';
 import type {Member, StateVersions} from '@fescuespool/coordination';
 import {rankMembers} from '@fescuespool/coordination';
 import {
@@ -84,12 +84,12 @@
         this.context.log.warn('config_watch_failed', {
           err: entry.error.message,
         });
-        await sleep(jitteredRetryMs(), signal);
+        await sleep(jitterMs(PLATFORM_RETRY_MS), signal);
       } else if (entry.value) {
         const newest = parseHead(entry.value.value).recent[0];
         const isDone = !newest || (await this.adopt(newest, this.fromStore));
         if (isDone) revision = entry.value.revision;
-        else await sleep(jitteredRetryMs(), signal);
+        else await sleep(jitterMs(PLATFORM_RETRY_MS), signal);
       }
     }
   }
@@ -103,7 +103,7 @@
       }
       const {revision} = this.listing;
       const listing = await this.readVmList(revision, WATCH_WAIT_MS);
-      if (listing.isErr()) await sleep(jitteredRetryMs(), signal);
+      if (listing.isErr()) await sleep(jitterMs(PLATFORM_RETRY_MS), signal);
       else if (listing.value) this.takeVmList(listing.value);
     }
   }
@@ -235,7 +235,3 @@
     this.onVmList(listing);
   }
 }
-
-function jitteredRetryMs(): number {
-  return PLATFORM_RETRY_MS * (0.5 + Math.random());
-}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -73,23 +73,7 @@
       tls: peerTls ? () => peerTls.material : undefined,
     });
     peerTls?.onChange(material => this.network.setTls(material));
-    const address =
-      settings.peer.advertise ?? `${settings.peer.host}:${settings.peer.port}`;
-    this.membership = new Membership({
-      self: {
-        id: settings.memberId,
-        zone: settings.zone,
-        address,
-        incarnation: clock.wallMs(),
-        state: MEMBER_STATE.ALIVE,
-      },
-      clock,
-      versions: () => this.sync.versions,
-      sendProbe: (member, message) => this.sendProbe(member, message),
-      askHelper: (helper, target) => this.askHelper(helper, target),
-      onNewer: (member, versions) => void this.sync.pullFrom(member, versions),
-      onChange: () => this.membersChanged(),
-    });
+    this.membership = this.createMembership();
     this.context = {
       settings,
       clock,
@@ -175,8 +159,8 @@
     void this.sync.watchVms(signal);
     void this.detectFreezes(signal);
     const {host, port} = settings.caller;
-    const caller = await this.entry.listen(host, port);
-    const operator = await this.operator.listen(
+    const caller = await this.entry.listener.listen(host, port);
+    const operator = await this.operator.listener.listen(
       settings.operator.host,
       settings.operator.port,
     );
@@ -199,7 +183,7 @@
     await this.membership.probeRound(Infinity);
     // Callers that the balancer still sends are served until it has noticed.
     await sleep(balancerGraceMs, signal);
-    this.entry.stopAccepting();
+    this.entry.listener.stopAccepting();
     const endAtMs = this.context.clock.monotonicMs() + limitMs;
     while (this.open.size > 0 && !signal.aborted) {
       if (this.context.clock.monotonicMs() >= endAtMs) {
@@ -217,8 +201,8 @@
   close(): void {
     this.stop.abort();
     this.dispatcher.close();
-    this.entry.close();
-    this.operator.close();
+    this.entry.listener.close();
+    this.operator.listener.close();
     this.network.close();
     for (const keeper of this.tls) keeper.close();
   }
@@ -232,6 +216,28 @@
     );
   }
 
+  private createMembership(): Membership {
+    const {settings} = this;
+    const address =
+      settings.peer.advertise ?? `${settings.peer.host}:${settings.peer.port}`;
+    return new Membership({
+      self: {
+        id: settings.memberId,
+        zone: settings.zone,
+        address,
+        // Only a first guess: peers tell of a higher one that they have seen.
+        incarnation: SYSTEM_CLOCK.wallMs(),
+        state: MEMBER_STATE.ALIVE,
+      },
+      clock: SYSTEM_CLOCK,
+      versions: () => this.sync.versions,
+      sendProbe: (member, message) => this.sendProbe(member, message),
+      askHelper: (helper, target) => this.askHelper(helper, target),
+      onNewer: (member, versions) => void this.sync.pullFrom(member, versions),
+      onChange: () => this.membersChanged(),
+    });
+  }
+
   private keepTls(files: Settings['caller']['tls']): TlsKeeper | null {
     if (!files) return null;
     const keeper = new TlsKeeper(files, this.log);
--- a/packages/daemon/src/entry_server.ts
+++ b/packages/daemon/src/entry_server.ts
@@ -13,14 +13,13 @@
   sendJson,
   sendRefusal,
 } from '@fescuespool/transport';
-import http from 'node:http';
-import https from 'node:https';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {handleApplication, isNonIdempotent} from './application_handler.js';
 import {handleChat, parseChatRequest} from './chat_handler.js';
 import type {ClaimGate} from './claim_gate.js';
 import {CALLER_REQUEST_TIMEOUT_MS, MAX_HEADER_BYTES} from './constants.js';
 import type {EntryParts} from './dispatch.js';
+import {HttpListener} from './http_listener.js';
 import type {OpenRequest, OpenRequests} from './open_requests.js';
 import type {Caller, RequestScope} from './request_scope.js';
 import {
@@ -40,11 +39,12 @@
   readonly tls: TlsKeeper | null;
 }
 
-interface Target {
-  readonly serviceName: string;
-  readonly service: ServiceConfig;
-  /** Path for an application service; null for a chat completion. */
-  readonly path: string | null;
+/** A request that was authenticated and has a place at the entry. */
+interface Admitted {
+  readonly active: ActiveVersion;
+  readonly caller: Caller;
+  readonly request: OpenRequest;
+  readonly arrivedAtMs: number;
 }
 
 function refuse(
@@ -64,44 +64,17 @@
 
 /** Serves callers over HTTP. */
 export class EntryServer {
-  private readonly server: Server;
+  readonly listener: HttpListener;
 
   constructor(private readonly options: EntryOptions) {
-    const handler = (req: IncomingMessage, res: ServerResponse): void =>
-      void this.handle(req, res);
-    const limits = {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      requestTimeout: CALLER_REQUEST_TIMEOUT_MS,
-    };
-    const {tls} = options;
-    this.server = tls
-      ? https.createServer({...limits, ...tls.material}, handler)
-      : http.createServer(limits, handler);
-    tls?.onChange(material => {
-      (this.server as https.Server).setSecureContext(material);
-    });
-  }
-
-  /** Starts to listen; resolves with the port. */
-  async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const address = this.server.address();
-    return typeof address === 'object' && address ? address.port : port;
-  }
-
-  /** Stops to accept connections and closes the idle ones. */
-  stopAccepting(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
-  }
-
-  /** Cuts what is left. */
-  close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.listener = new HttpListener(
+      (req, res) => void this.handle(req, res),
+      options.tls,
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: CALLER_REQUEST_TIMEOUT_MS,
+      },
+    );
   }
 
   private async handle(
@@ -155,7 +128,9 @@
       }
       const {controller} = request;
       res.once('close', () => controller.abort());
-      await this.serveCaller(req, res, active, caller, request);
+      const arrivedAtMs = startedAtMs;
+      const admitted = {active, caller, request, arrivedAtMs};
+      await this.serveCaller(req, res, admitted);
       metrics.timing('request_ms', clock.monotonicMs() - startedAtMs);
       metrics.increment('request', {end: 'answered'});
     } catch (e) {
@@ -175,62 +150,80 @@
   private async serveCaller(
     req: IncomingMessage,
     res: ServerResponse,
-    active: ActiveVersion,
-    caller: Caller,
-    request: OpenRequest,
+    admitted: Admitted,
   ): Promise<void> {
-    const {parts, gate} = this.options;
-    const {clock} = parts.context;
     const url = req.url ?? '/';
-    const {maxBodyBytes} = active.cfg.limits;
-    const arrivedAtMs = clock.monotonicMs();
-    const makeScope = (target: Target, open: OpenRequest): RequestScope => {
-      const {serviceName, service} = target;
-      const headers = readRequestHeaders(req, service);
-      const {requestId} = open;
-      parts.traces.add(requestId, 'arrived', {
-        service: serviceName,
-        account: caller.accountId,
-        tier: caller.account.tier,
-      });
-      return {
-        requestId,
-        caller,
-        serviceName,
-        service,
-        idempotencyKey: headers.idempotencyKey,
-        deadlineAtMs: arrivedAtMs + headers.deadlineMs,
-        open,
-      };
-    };
     if (url.split('?')[0] === CHAT_COMPLETIONS_PATH) {
-      if (req.method !== 'POST') {
-        throw refuse(REFUSAL_REASON.BAD_REQUEST, 'use POST');
-      }
-      const body = await readCallerBody(req, maxBodyBytes);
-      const chat = parseChatRequest(body);
-      const kind = SERVICE_KIND.MODEL;
-      const service = findService(active, caller, chat.model, kind);
-      const target = {serviceName: chat.model, service, path: null};
-      await handleChat(parts, makeScope(target, request), chat, res);
-      return;
-    }
-    if (!url.startsWith(SERVICES_PATH_PREFIX)) {
+      await this.serveChat(req, res, admitted);
+    } else if (url.startsWith(SERVICES_PATH_PREFIX)) {
+      await this.serveApplication(req, res, admitted);
+    } else {
       const detail = `there is nothing at ${url}`;
       throw refuse(REFUSAL_REASON.UNKNOWN_SERVICE, detail);
     }
-    const {name, path} = splitServicePath(url);
+  }
+
+  private async serveChat(
+    req: IncomingMessage,
+    res: ServerResponse,
+    admitted: Admitted,
+  ): Promise<void> {
+    if (req.method !== 'POST') {
+      throw refuse(REFUSAL_REASON.BAD_REQUEST, 'use POST');
+    }
+    const {active, caller} = admitted;
+    const body = await readCallerBody(req, active.cfg.limits.maxBodyBytes);
+    const chat = parseChatRequest(body);
+    const kind = SERVICE_KIND.MODEL;
+    const service = findService(active, caller, chat.model, kind);
+    const scope = this.makeScope(req, admitted, chat.model, service);
+    await handleChat(this.options.parts, scope, chat, res);
+  }
+
+  private async serveApplication(
+    req: IncomingMessage,
+    res: ServerResponse,
+    admitted: Admitted,
+  ): Promise<void> {
+    const {active, caller, request} = admitted;
+    const {parts, gate} = this.options;
+    const {name, path} = splitServicePath(req.url ?? '/');
     const kind = SERVICE_KIND.APPLICATION;
     const service = findService(active, caller, name, kind);
     const method = req.method ?? 'GET';
     request.preemptible = !isNonIdempotent(service, method, path);
-    const scope = makeScope({serviceName: name, service, path}, request);
-    const body = await readCallerBody(req, maxBodyBytes);
+    const scope = this.makeScope(req, admitted, name, service);
+    const body = await readCallerBody(req, active.cfg.limits.maxBodyBytes);
     const {headers} = req;
     const call = {method, path, headers, body, isDetached: false};
     await handleApplication(parts, gate, scope, call, res);
   }
 
+  private makeScope(
+    req: IncomingMessage,
+    admitted: Admitted,
+    serviceName: string,
+    service: ServiceConfig,
+  ): RequestScope {
+    const {caller, request, arrivedAtMs} = admitted;
+    const headers = readRequestHeaders(req, service);
+    const {requestId} = request;
+    this.options.parts.traces.add(requestId, 'arrived', {
+      service: serviceName,
+      account: caller.accountId,
+      tier: caller.account.tier,
+    });
+    return {
+      requestId,
+      caller,
+      serviceName,
+      service,
+      idempotencyKey: headers.idempotencyKey,
+      deadlineAtMs: arrivedAtMs + headers.deadlineMs,
+      open: request,
+    };
+  }
+
   private endWithError(
     error: unknown,
     res: ServerResponse,
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operator_server.ts
@@ -10,9 +10,7 @@
 import type {ConfigStore, SubmitErrorKind} from '@fescuespool/state';
 import {checkConfig, PATCH_FORMAT, SUBMIT_ERROR_KIND} from '@fescuespool/state';
 import {readBody, sendJson} from '@fescuespool/transport';
-import http from 'node:http';
-import https from 'node:https';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
 import type {ConfigSync} from './config_sync.js';
 import {
@@ -22,6 +20,7 @@
 } from './constants.js';
 import type {DispatcherRole} from './dispatcher_role.js';
 import type {GrantClient} from './grant_client.js';
+import {HttpListener} from './http_listener.js';
 import type {OpenRequests} from './open_requests.js';
 import {callPeer} from './peer_call.js';
 import {STATUS_PAGE} from './status_page.js';
@@ -73,7 +72,7 @@
 
 /** Serves operators over HTTP. */
 export class OperatorServer {
-  private readonly server: Server;
+  readonly listener: HttpListener;
   private readonly readRoutes: Readonly<Record<string, Route>>;
   private readonly writeRoutes: Readonly<Record<string, Route>>;
 
@@ -91,31 +90,10 @@
       '/config/validate': body => this.validate(body),
       '/drain': () => this.drain(),
     };
-    const handler = (req: IncomingMessage, res: ServerResponse): void =>
-      void this.handle(req, res);
-    const {tls} = options;
-    this.server = tls
-      ? https.createServer({...tls.material}, handler)
-      : http.createServer(handler);
-    tls?.onChange(material => {
-      (this.server as https.Server).setSecureContext(material);
-    });
-  }
-
-  /** Starts to listen; resolves with the port. */
-  async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const address = this.server.address();
-    return typeof address === 'object' && address ? address.port : port;
-  }
-
-  /** Stops to serve. */
-  close(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    this.listener = new HttpListener(
+      (req, res) => void this.handle(req, res),
+      options.tls,
+    );
   }
 
   private async handle(
