Run once what was sent twice under one key while the first waited

Cause: two sends of one chat under the same key through two entries both waited, and both were granted; only a running or finished run was joined. Ruled out: joining at arrival (there is no stream yet to join). Change: a request whose key has been granted meanwhile joins that run in place of a grant of its own. Figures: the new test failed before (granted, not joined) and passes after.

--- a/packages/coordination/src/cell.test.ts
+++ b/packages/coordination/src/cell.test.ts
@@ -7,7 +7,12 @@
 import {createPlacementPolicy} from './placement.js';
 import {PoisonRegistry} from './poison_registry.js';
 import {RunRegistry} from './run_registry.js';
-import type {GrantAnswer, GrantRequest, UpstreamSpec} from './types.js';
+import type {
+  GrantAnswer,
+  GrantRequest,
+  ReleaseKind,
+  UpstreamSpec,
+} from './types.js';
 import type {ActiveRun} from './upstream_state.js';
 
 const UPSTREAM: UpstreamSpec = {
@@ -84,10 +89,14 @@
     return cell;
   };
   const end = (cell: Cell, requestId: string): void =>
+    release(cell, requestId, RELEASE_KIND.CANCELLED);
+  const complete = (cell: Cell, requestId: string): void =>
+    release(cell, requestId, RELEASE_KIND.COMPLETED);
+  const release = (cell: Cell, requestId: string, kind: ReleaseKind): void =>
     cell.release({
       requestId,
       service: 'chat',
-      kind: RELEASE_KIND.CANCELLED,
+      kind,
       firstTokenMs: null,
       decodeMs: null,
       outputTokens: 0,
@@ -121,6 +130,23 @@
       expect(second).toEqual(first);
     });
 
+    it('runs once what was sent twice under one key while it waited', async () => {
+      const cell = makeCell(100, [{...UPSTREAM, slots: 1}]);
+      const blocker = makeRequest();
+      await cell.request(blocker);
+      const joinKey = 'key';
+      const first = makeRequest({joinKey});
+      const answers = [first, makeRequest({joinKey})].map(r => cell.request(r));
+      end(cell, blocker.requestId);
+      expect((await answers[0])?.kind).toBe(GRANT_KIND.GRANTED);
+      complete(cell, first.requestId);
+      expect(await answers[1]).toMatchObject({
+        kind: GRANT_KIND.JOINED,
+        runningRequestId: first.requestId,
+      });
+      expect(cell.runningCount).toBe(0);
+    });
+
     it('leaves a leaving upstream without new work', async () => {
       const cell = makeCell(100, [{...UPSTREAM, isLeaving: true}]);
       let isAnswered = false;
--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -27,7 +27,11 @@
   UpstreamSpec,
 } from './types.js';
 import type {ActiveRun} from './upstream_state.js';
-import {judgeStragglers, UpstreamState} from './upstream_state.js';
+import {
+  groupByEntry,
+  judgeStragglers,
+  UpstreamState,
+} from './upstream_state.js';
 
 /**
  * The one queue of a service. It grants upstreams to waiting requests, counts
@@ -146,15 +150,8 @@
 
   /** Runs that are older than an age in milliseconds, by their entry. */
   runsOlderThan(ageMs: number): Map<string, string[]> {
-    const startedBefore = this.options.clock.monotonicMs() - ageMs;
-    const byEntry = new Map<string, string[]>();
-    for (const {request, startedAtMs} of this.runs.values()) {
-      if (startedAtMs > startedBefore) continue;
-      const ids = byEntry.get(request.entryId) ?? [];
-      ids.push(request.requestId);
-      byEntry.set(request.entryId, ids);
-    }
-    return byEntry;
+    const startedBeforeMs = this.options.clock.monotonicMs() - ageMs;
+    return groupByEntry(this.runs.values(), startedBeforeMs);
   }
 
   /** Ends the runs of a member that it has told to have ended. */
@@ -299,6 +296,12 @@
   private async run(): Promise<void> {
     const {waiting, upstream} = this.waiting.takePlacement();
     const {request} = waiting;
+    // The same key may have been granted while this request waited.
+    const joined = this.options.registry.find(request.joinKey);
+    if (joined) {
+      waiting.answer(this.join(request, joined));
+      return;
+    }
     await new Promise<void>(release => {
       const uncachedTokens = upstream.uncachedTokens(request);
       this.track({
--- a/packages/coordination/src/upstream_state.ts
+++ b/packages/coordination/src/upstream_state.ts
@@ -229,3 +229,18 @@
   const median = slowdowns[Math.floor(slowdowns.length / 2)] ?? 1;
   for (const state of states) state.judgeStraggler(median);
 }
+
+/** Requests that were started before a time, by their entry. */
+export function groupByEntry(
+  runs: Iterable<ActiveRun>,
+  startedBeforeMs: number,
+): Map<string, string[]> {
+  const groups = new Map<string, string[]>();
+  for (const {request, startedAtMs} of runs) {
+    if (startedAtMs > startedBeforeMs) continue;
+    const ids = groups.get(request.entryId) ?? [];
+    ids.push(request.requestId);
+    groups.set(request.entryId, ids);
+  }
+  return groups;
+}
