Bound the bytes of bodies that an entry holds, and send gauges

Cause: each body and the number of requests were bounded, their product (16 GB by default) was not; gauges were offered and never sent. Ruled out: a smaller bound on bodies; long histories need them. Change: limits.maxBufferedBytes, reserved before a body is read; lower tiers make room for a higher one, as at the bound on open requests. Five gauges each second. Conclusion: not measured under load.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -20,6 +20,11 @@
 /** Period in milliseconds in which a daemon looks whether it is a relay. */
 export const RELAY_CHECK_MS = 250;
 
+/** Time in milliseconds after which a shed request may be sent again. */
+export const RETRY_AFTER_MS = 1_000;
+/** Period in milliseconds of the gauges. */
+export const GAUGE_PERIOD_MS = 1_000;
+
 /** Tries of one request, the first included. */
 export const MAX_DISPATCH_TRIES = 3;
 /** Retries allowed for each hundred requests. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,7 +15,7 @@
 import {createPlatformClient, PeerNetwork} from '@fescuespool/transport';
 import {ClaimGate} from './claim_gate.js';
 import {ConfigSync} from './config_sync.js';
-import {FREEZE_CHECK_MS, FREEZE_GAP_MS} from './constants.js';
+import {FREEZE_CHECK_MS, FREEZE_GAP_MS, GAUGE_PERIOD_MS} from './constants.js';
 import {DispatcherRole} from './dispatcher_role.js';
 import {EntryServer} from './entry_server.js';
 import {GrantClient} from './grant_client.js';
@@ -93,6 +93,7 @@
     const claims = new ClaimStore(platform.store, {memberId, incarnation});
     this.open = new OpenRequests(
       () => config.current?.cfg.limits.maxOpenRequests ?? 0,
+      () => config.current?.cfg.limits.maxBufferedBytes ?? 0,
     );
     this.dispatcher = new DispatcherRole(
       this.context,
@@ -158,6 +159,7 @@
     void this.sync.watchConfig(signal);
     void this.sync.watchVms(signal);
     void this.detectFreezes(signal);
+    void this.reportGauges(signal);
     const {host, port} = settings.caller;
     const caller = await this.entry.listener.listen(host, port);
     const operator = await this.operator.listener.listen(
@@ -325,6 +327,18 @@
     this.dispatcher.handOver();
   }
 
+  private async reportGauges(signal: AbortSignal): Promise<void> {
+    const {metrics, config} = this.context;
+    while (!signal.aborted) {
+      metrics.gauge('open_requests', this.open.size);
+      metrics.gauge('running_requests', this.grants.runningCount);
+      metrics.gauge('config_version', config.version);
+      metrics.gauge('members', this.membership.candidates().length);
+      metrics.gauge('rss_bytes', process.memoryUsage.rss());
+      await sleep(GAUGE_PERIOD_MS, signal);
+    }
+  }
+
   private takeVmList(listing: VmListing): void {
     const {memberId} = this.settings;
     const seeds = listing.vms
--- a/packages/daemon/src/dispatch.ts
+++ b/packages/daemon/src/dispatch.ts
@@ -13,16 +13,17 @@
   RELEASE_KIND,
 } from '@fescuespool/coordination';
 import {RefusalError} from '@fescuespool/protocol';
-import {MAX_DISPATCH_TRIES, REQUEST_PHASE} from './constants.js';
+import {
+  MAX_DISPATCH_TRIES,
+  REQUEST_PHASE,
+  RETRY_AFTER_MS,
+} from './constants.js';
 import type {GrantClient} from './grant_client.js';
 import type {RequestScope} from './request_scope.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {TraceLog} from './trace_log.js';
 import type {DaemonContext} from './types.js';
 
-/** Time in milliseconds after which a shed request may be sent again. */
-const RETRY_AFTER_MS = 1_000;
-
 /** What a request's descriptor adds to its scope. */
 export interface Workload {
   readonly promptTokens: number;
--- a/packages/daemon/src/entry_server.ts
+++ b/packages/daemon/src/entry_server.ts
@@ -17,7 +17,11 @@
 import {handleApplication, isNonIdempotent} from './application_handler.js';
 import {handleChat, parseChatRequest} from './chat_handler.js';
 import type {ClaimGate} from './claim_gate.js';
-import {CALLER_REQUEST_TIMEOUT_MS, MAX_HEADER_BYTES} from './constants.js';
+import {
+  CALLER_REQUEST_TIMEOUT_MS,
+  MAX_HEADER_BYTES,
+  RETRY_AFTER_MS,
+} from './constants.js';
 import type {EntryParts} from './dispatch.js';
 import {HttpListener} from './http_listener.js';
 import type {OpenRequest, OpenRequests} from './open_requests.js';
@@ -54,6 +58,13 @@
   return new RefusalError(reason, OUTCOME.NOT_RUN, detail);
 }
 
+function overloaded(detail: string): RefusalError {
+  const reason = REFUSAL_REASON.ENTRY_OVERLOADED;
+  return new RefusalError(reason, OUTCOME.NOT_RUN, detail, {
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function splitServicePath(url: string): {name: string; path: string} {
   const rest = url.slice(SERVICES_PATH_PREFIX.length);
   const end = rest.search(/[/?]/);
@@ -118,13 +129,7 @@
       request = createOpenRequest(caller.tier, true);
       requestId = request.requestId;
       if (!open.add(request)) {
-        const {ENTRY_OVERLOADED} = REFUSAL_REASON;
-        throw new RefusalError(
-          ENTRY_OVERLOADED,
-          OUTCOME.NOT_RUN,
-          'too many open requests',
-          {retryAfterMs: 1_000},
-        );
+        throw overloaded('too many open requests');
       }
       const {controller} = request;
       res.once('close', () => controller.abort());
@@ -172,7 +177,7 @@
       throw refuse(REFUSAL_REASON.BAD_REQUEST, 'use POST');
     }
     const {active, caller} = admitted;
-    const body = await readCallerBody(req, active.cfg.limits.maxBodyBytes);
+    const body = await this.readBody(req, admitted);
     const chat = parseChatRequest(body);
     const kind = SERVICE_KIND.MODEL;
     const service = findService(active, caller, chat.model, kind);
@@ -193,12 +198,30 @@
     const method = req.method ?? 'GET';
     request.preemptible = !isNonIdempotent(service, method, path);
     const scope = this.makeScope(req, admitted, name, service);
-    const body = await readCallerBody(req, active.cfg.limits.maxBodyBytes);
+    const body = await this.readBody(req, admitted);
     const {headers} = req;
     const call = {method, path, headers, body, isDetached: false};
     await handleApplication(parts, gate, scope, call, res);
   }
 
+  /** Reads a body whose bytes have a place; lower tiers make room for it. */
+  private async readBody(
+    req: IncomingMessage,
+    {active, request}: Admitted,
+  ): Promise<Buffer> {
+    const {maxBodyBytes} = active.cfg.limits;
+    // A body of unknown length may be as long as any.
+    const isChunked = req.headers['transfer-encoding'] !== undefined;
+    const announced = isChunked
+      ? maxBodyBytes
+      : Number(req.headers['content-length'] ?? 0);
+    const isTooLarge = announced > maxBodyBytes;
+    if (!isTooLarge && !this.options.open.reserve(request, announced)) {
+      throw overloaded('the entry holds too many bodies');
+    }
+    return readCallerBody(req, maxBodyBytes);
+  }
+
   private makeScope(
     req: IncomingMessage,
     admitted: Admitted,
--- a/packages/daemon/src/open_requests.test.ts
+++ b/packages/daemon/src/open_requests.test.ts
@@ -53,4 +53,22 @@
     expect(running!.endReason).toBe('entry_overloaded');
     expect(normal!.endReason).toBeNull();
   });
+
+  it('sheds lower tiers for the bytes of a higher body', () => {
+    const open = new OpenRequests(
+      () => 10,
+      () => 100,
+    );
+    const [high, low, other] = [0, 3, 0].map(tier => {
+      const request = createOpenRequest(tier, true);
+      open.add(request);
+      return request;
+    });
+    expect(open.reserve(low!, 80)).toBe(true);
+    expect(open.reserve(high!, 90)).toBe(true);
+    expect(low!.endReason).toBe('entry_overloaded');
+    expect(open.reserve(other!, 20)).toBe(false);
+    open.remove(high!.requestId);
+    expect(open.reserve(other!, 20)).toBe(true);
+  });
 });
--- a/packages/daemon/src/open_requests.ts
+++ b/packages/daemon/src/open_requests.ts
@@ -9,6 +9,8 @@
   readonly tier: number;
   preemptible: boolean;
   phase: RequestPhase;
+  /** Bytes of its body that are held. */
+  bytes: number;
   /** Why the request is being ended; null while it goes on. */
   endReason: RefusalReason | null;
   readonly controller: AbortController;
@@ -18,7 +20,12 @@
 export class OpenRequests {
   private readonly open = new Map<string, OpenRequest>();
 
-  constructor(private readonly maxOpen: () => number) {}
+  private heldBytes = 0;
+
+  constructor(
+    private readonly maxOpen: () => number,
+    private readonly maxBytes: () => number = () => Infinity,
+  ) {}
 
   /** Number of open requests. */
   get size(): number {
@@ -33,17 +40,33 @@
     if (this.open.size >= this.maxOpen()) {
       const victim = this.findVictim(request.tier);
       if (!victim) return false;
-      this.end(victim, REFUSAL_REASON.ENTRY_OVERLOADED);
-      // The victim's task ends a moment later; its place is taken at once.
-      this.open.delete(victim.requestId);
+      this.shed(victim);
     }
     this.open.set(request.requestId, request);
     return true;
   }
 
+  /**
+   * Accounts for the bytes of a request's body before they are read. At the bound
+   * lower tiers make room; false when they hold too little.
+   */
+  reserve(request: OpenRequest, bytes: number): boolean {
+    while (this.heldBytes + bytes > this.maxBytes()) {
+      const victim = this.findVictim(request.tier);
+      if (!victim) return false;
+      this.shed(victim);
+    }
+    request.bytes += bytes;
+    this.heldBytes += bytes;
+    return true;
+  }
+
   /** Removes a request that has ended. */
   remove(requestId: string): void {
+    const request = this.open.get(requestId);
+    if (!request) return;
     this.open.delete(requestId);
+    this.heldBytes -= request.bytes;
   }
 
   /** Ends a running request for a higher tier. */
@@ -57,6 +80,12 @@
     for (const request of this.open.values()) this.end(request, reason);
   }
 
+  /** Ends a request; its place is taken at once, its task ends a moment later. */
+  private shed(victim: OpenRequest): void {
+    this.end(victim, REFUSAL_REASON.ENTRY_OVERLOADED);
+    this.remove(victim.requestId);
+  }
+
   private end(request: OpenRequest, reason: RefusalReason): void {
     request.endReason ??= reason;
     request.controller.abort();
--- a/packages/daemon/src/request_scope.ts
+++ b/packages/daemon/src/request_scope.ts
@@ -136,6 +136,7 @@
     tier,
     preemptible,
     phase: REQUEST_PHASE.READING,
+    bytes: 0,
     endReason: null,
     controller: new AbortController(),
   };
--- a/packages/state/src/config_schema.ts
+++ b/packages/state/src/config_schema.ts
@@ -57,6 +57,8 @@
 const LIMITS = z.strictObject({
   maxBodyBytes: z.number().int().min(1_024).max(67_108_864).default(4_194_304),
   maxOpenRequests: z.number().int().min(1).max(1_000_000).default(4_096),
+  /** Bytes of bodies that an entry holds at once. */
+  maxBufferedBytes: z.number().int().min(1_024).default(268_435_456),
 });
 
 /** Schema of the operators' configuration. */
