Merge the two tests of urgency and remove what nothing used

Cause: a last read of the whole change. isUrgent and mustTakeAnySlot were the same but for their wait; CallEndName stood beside CallEnd; StartError, RequestRef, ConfigSectionAnswer and ClaimStatusAnswer had no user. Ruled out: one JSON client for the bench and the command-line tool (their failures and TLS differ, and the tool can't import the bench); further commands made from tables. Change: isPressed serves both; the rest is deleted. Behaviour is unchanged. Conclusion: left for next time: both watch loops of a non-relay hash its zone's members every 250 ms, which a cache by membership change would save.

--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -4,14 +4,12 @@
 import http from 'node:http';
 import {CALL_END} from './constants.js';
 import {accountKey} from './fleet.js';
+import type {CallEnd} from './types.js';
 
 /** Callers leave after this multiple of their deadline. */
 const PATIENCE = 1.5;
 const NO_DEADLINE_MS = 120_000;
 
-/** How a call ended. */
-export type CallEnd = (typeof CALL_END)[keyof typeof CALL_END];
-
 /** A chat completion as a caller sends it. */
 export interface ChatCall {
   readonly url: string;
--- a/packages/bench/src/types.ts
+++ b/packages/bench/src/types.ts
@@ -2,4 +2,4 @@
 import type {CALL_END} from './constants.js';
 
 /** How a call ended, as its caller saw it. */
-export type CallEndName = ValueOf<typeof CALL_END>;
+export type CallEnd = ValueOf<typeof CALL_END>;
--- a/packages/coordination/src/placement_search.ts
+++ b/packages/coordination/src/placement_search.ts
@@ -38,18 +38,18 @@
   upstreams: readonly UpstreamState[],
   nowMs: number,
 ): boolean {
-  const waitedMs = nowMs - waiting.arrivedAtMs;
-  if (waiting.request.tier === 0 && waitedMs >= TOP_TIER_MAX_WAIT_MS) {
-    return true;
-  }
-  return hasShortSlack(waiting, upstreams, nowMs);
+  return isPressed(waiting, upstreams, nowMs, TOP_TIER_MAX_WAIT_MS);
 }
 
-function hasShortSlack(
+/** Whether the highest tier has waited too long, or any slack is short. */
+function isPressed(
   waiting: WaitingRequest,
   upstreams: readonly UpstreamState[],
   nowMs: number,
+  topTierWaitMs: number,
 ): boolean {
+  const waitedMs = nowMs - waiting.arrivedAtMs;
+  if (waiting.request.tier === 0 && waitedMs >= topTierWaitMs) return true;
   const slack =
     waiting.deadlineAtMs - nowMs - bestServiceMs(waiting, upstreams);
   return slack < URGENT_SLACK_MS;
@@ -66,11 +66,7 @@
 ): boolean {
   // The slot that a preemption frees must not go to the lower tier again.
   if (waiting.victimId !== null) return true;
-  const waitedMs = nowMs - waiting.arrivedAtMs;
-  if (waiting.request.tier === 0 && waitedMs >= TOP_TIER_ANY_SLOT_MS) {
-    return true;
-  }
-  return hasShortSlack(waiting, upstreams, nowMs);
+  return isPressed(waiting, upstreams, nowMs, TOP_TIER_ANY_SLOT_MS);
 }
 
 function candidatesFor(
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,4 @@
 export * from './constants.js';
 export * from './daemon.js';
-export * from './errors.js';
 export * from './settings.js';
 export * from './types.js';
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -5,7 +5,7 @@
   RELEASE_KIND,
 } from '@fescuespool/coordination';
 import type {RunningRequest} from '@fescuespool/coordination';
-import type {ConfigSection, VmListing} from '@fescuespool/state';
+import type {VmListing} from '@fescuespool/state';
 import {VM_STATE} from '@fescuespool/state';
 import {z} from 'zod';
 
@@ -82,9 +82,6 @@
   service: SHORT,
 });
 
-/** A message that names one request of a service. */
-export type RequestRef = z.infer<typeof REQUEST_REF_SCHEMA>;
-
 /** Schema of the progress of a run. */
 export const PROGRESS_SCHEMA = z.object({
   requestId: SHORT,
@@ -148,11 +145,6 @@
   key: z.string(),
 });
 
-/** Answer to a question for one section. */
-export interface ConfigSectionAnswer {
-  readonly section: ConfigSection | null;
-}
-
 /** Schema of a VM list that a relay announces. */
 export const VM_LIST_SCHEMA: z.ZodType<VmListing> = z.object({
   revision: COUNT,
@@ -183,9 +175,3 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly bodyBase64: string;
 }
-
-/** State of a claim with the answer, once there is one. */
-export interface ClaimStatusAnswer {
-  readonly state: 'released' | 'running' | 'finished' | 'unknown';
-  readonly answer: KeptAnswer | null;
-}
