Run the whole path on the platform, thin

Cause: the users' platform fixes how callers, engines, operators and VMs speak; the program spoke only its own interface there. Ruled out: translating the platform's requests into the chat interface (requests are opaque and routed by host and prefix); a relay for the store's watch (one watch a VM costs one call a second, which the store's rates allow at 370 VMs).

--- a/packages/daemon/src/claim_gate.ts
+++ b/packages/daemon/src/claim_gate.ts
@@ -9,6 +9,7 @@
   StoredClaim,
 } from '@fescuespool/state';
 import {CLAIM_OUTCOME} from '@fescuespool/state';
+import {callPeer} from '@fescuespool/transport';
 import {z} from 'zod';
 import {
   CLAIM_POLL_MS,
@@ -17,7 +18,7 @@
   REPORT_TIMEOUT_MS,
 } from './constants.js';
 import {KeptAnswers} from './kept_answers.js';
-import {callPeer} from './peer_call.js';
+
 import type {DaemonContext} from './types.js';
 
 const STATUS_SCHEMA = z.object({
--- a/packages/daemon/src/config_sync.ts
+++ b/packages/daemon/src/config_sync.ts
@@ -14,6 +14,7 @@
   VmListing,
 } from '@fescuespool/state';
 import {CONFIG_HEAD_KEY, parseHead} from '@fescuespool/state';
+import {callPeer} from '@fescuespool/transport';
 import {z} from 'zod';
 import {
   PLATFORM_RETRY_MS,
@@ -22,7 +23,7 @@
   REPORT_TIMEOUT_MS,
   WATCH_WAIT_MS,
 } from './constants.js';
-import {callPeer} from './peer_call.js';
+
 import type {DaemonContext} from './types.js';
 
 const RELAY_KEY = 'relay';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,7 @@
 import {PEER_METHOD, PROBE_SCHEMA} from '@fescuespool/protocol';
 import type {VmListing} from '@fescuespool/state';
 import {ActiveConfig, ClaimStore, ConfigStore} from '@fescuespool/state';
-import {createPlatformClient, PeerNetwork} from '@fescuespool/transport';
+import {callPeer, createPlatformClient, PeerNetwork} from '@fescuespool/transport';
 import {ClaimGate} from './claim_gate.js';
 import {ConfigSync} from './config_sync.js';
 import {FREEZE_CHECK_MS, FREEZE_GAP_MS, GAUGE_PERIOD_MS} from './constants.js';
@@ -21,7 +21,7 @@
 import {GrantClient} from './grant_client.js';
 import {OpenRequests} from './open_requests.js';
 import {OperatorServer} from './operator_server.js';
-import {callPeer} from './peer_call.js';
+
 import {createPeerHandlers} from './peer_handlers.js';
 import {RetryBudget} from './retry_budget.js';
 import type {Settings} from './settings.js';
--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -23,12 +23,13 @@
 import {PEER_METHOD, REQUEST_LIST_SCHEMA} from '@fescuespool/protocol';
 import type {ActiveVersion, VmListing} from '@fescuespool/state';
 import {SERVICE_KIND, VM_STATE} from '@fescuespool/state';
+import {callPeer} from '@fescuespool/transport';
 import {
   REPORT_TIMEOUT_MS,
   VERIFY_MIN_AGE_MS,
   VERIFY_TIMEOUT_MS,
 } from './constants.js';
-import {callPeer} from './peer_call.js';
+
 import {cancelStream, pollLoad} from './upstream_client.js';
 import type {DaemonContext} from './types.js';
 
--- a/packages/daemon/src/grant_client.ts
+++ b/packages/daemon/src/grant_client.ts
@@ -14,6 +14,7 @@
   RELEASE_KIND,
 } from '@fescuespool/coordination';
 import {GRANT_ANSWER_SCHEMA, PEER_METHOD} from '@fescuespool/protocol';
+import {callPeer} from '@fescuespool/transport';
 import {
   DISPATCHER_RETRY_MS,
   GRANT_GRACE_MS,
@@ -21,7 +22,7 @@
   REPORT_TIMEOUT_MS,
 } from './constants.js';
 import type {DispatcherRole} from './dispatcher_role.js';
-import {callPeer} from './peer_call.js';
+
 import type {DaemonContext} from './types.js';
 
 /** A grant with the time in milliseconds that it was waited for. */
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operator_server.ts
@@ -9,7 +9,7 @@
 import {PEER_METHOD} from '@fescuespool/protocol';
 import type {ConfigStore, SubmitErrorKind} from '@fescuespool/state';
 import {checkConfig, PATCH_FORMAT, SUBMIT_ERROR_KIND} from '@fescuespool/state';
-import {readBody, sendJson} from '@fescuespool/transport';
+import {callPeer, readBody, sendJson} from '@fescuespool/transport';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
 import type {ConfigSync} from './config_sync.js';
@@ -22,7 +22,7 @@
 import type {GrantClient} from './grant_client.js';
 import {HttpListener} from './http_listener.js';
 import type {OpenRequests} from './open_requests.js';
-import {callPeer} from './peer_call.js';
+
 import {STATUS_PAGE} from './status_page.js';
 import type {TlsKeeper} from './tls_keeper.js';
 import type {TraceLog} from './trace_log.js';
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,350 @@
+import type {Clock, Logger} from '@fescuespool/common';
+import {sleep} from '@fescuespool/common';
+import {PoisonRegistry} from '@fescuespool/coordination';
+import {QuotaLedger} from '@fescuespool/scheduling';
+import {checkedParams, PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
+import type {PeerHandlers} from '@fescuespool/transport';
+import http from 'node:http';
+import {isDeepStrictEqual} from 'node:util';
+import {CallerServer} from './caller_server.js';
+import type {BootClock} from './config_state.js';
+import {ConfigState} from './config_state.js';
+import {
+  FRESHNESS_MARGIN_MS,
+  GATEWAY_METHOD,
+  LINGER_MS,
+  MAX_HEAD_BYTES,
+  STOP_MARGIN_MS,
+  UPSTREAM_IDLE_MS,
+  UPSTREAM_MAX_IDLE,
+  USAGE_HUB_KEY,
+} from './constants.js';
+import {DispatchClient} from './dispatch_client.js';
+import type {UpstreamsByService} from './dispatcher.js';
+import {Dispatcher} from './dispatcher.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import {createGatewayMetrics} from './gateway_metrics.js';
+import {MemberDirectory} from './member_directory.js';
+import {
+  DEATH_SCHEMA,
+  ENDED_SCHEMA,
+  GRANT_SCHEMA,
+  REPORT_SCHEMA,
+  REQUEST_REF_SCHEMA,
+  STARTED_SCHEMA,
+  USAGE_REPORT_SCHEMA,
+} from './messages.js';
+import {PeerMonitor} from './peer_monitor.js';
+import type {GatewaySettings} from './settings.js';
+import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
+import {UsageExchange} from './usage_exchange.js';
+
+const OK = 200;
+const NOT_FOUND = 404;
+const SERVICE_UNAVAILABLE = 503;
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+
+/** Settings that are bound to sockets and names. */
+const BOUND_SETTINGS = [
+  'memberId',
+  'zone',
+  'callerAddress',
+  'readyAddress',
+  'readyPath',
+  'peerAddress',
+  'metricsPort',
+  'logLevel',
+] as const;
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly bootMs: BootClock;
+  readonly log: Logger;
+  readonly wire: WireFormat;
+}
+
+/**
+ * An entry for opaque requests: it routes them by host and path, and shares one
+ * queue for each service with the other gateways. Configuration, upstreams and
+ * members are handed in by whoever watches them.
+ */
+export class Gateway {
+  readonly config: ConfigState;
+  readonly members: MemberDirectory;
+  private readonly metrics: GatewayMetrics = createGatewayMetrics();
+  private readonly network: PeerNetwork;
+  private readonly monitor: PeerMonitor;
+  private readonly dispatcher: Dispatcher;
+  private readonly context: GatewayContext;
+  private readonly usage: UsageExchange;
+  private readonly callers: CallerServer;
+  private readonly callerServer: http.Server;
+  private readonly readyServer: http.Server;
+  private readonly metricsServer: http.Server;
+  private hasUpstreams = false;
+  private isStopping = false;
+  private wasReady = false;
+
+  constructor(private readonly options: GatewayOptions) {
+    const {settings, clock, bootMs, log, wire} = options;
+    const peer = splitAddress(settings.peerAddress);
+    this.config = new ConfigState(bootMs, log);
+    this.network = new PeerNetwork(peer);
+    this.members = new MemberDirectory({
+      id: settings.memberId,
+      zone: settings.zone,
+      address: settings.peerAddress,
+      isLeaving: false,
+    });
+    const {members, network} = this;
+    this.monitor = new PeerMonitor(clock, log, members, network);
+    this.dispatcher = new Dispatcher(clock, log, settings.retryBudget, key =>
+      this.isOwnerOf(key),
+    );
+    const dispatch = new DispatchClient(
+      clock,
+      log,
+      members,
+      network,
+      this.monitor,
+      this.dispatcher,
+    );
+    members.onChange(() => this.dispatcher.handOver());
+    const quotas = new QuotaLedger();
+    this.usage = new UsageExchange(clock, members, network, quotas);
+    this.context = {
+      settings,
+      clock,
+      log,
+      wire,
+      config: this.config,
+      members,
+      dispatch,
+      quotas,
+      crashes: new PoisonRegistry(clock, (fingerprint, deaths) =>
+        log.warn('crash_suspected', {fingerprint, deaths}),
+      ),
+      agent: new UpstreamAgent(UPSTREAM_IDLE_MS, UPSTREAM_MAX_IDLE),
+      random: Math.random,
+      count: this.metrics.count,
+      observe: this.metrics.observe,
+      announceDeath: (fingerprint, instanceId) =>
+        this.announceDeath(fingerprint, instanceId),
+    };
+    this.callers = new CallerServer(this.context);
+    this.callerServer = http.createServer(
+      {maxHeaderSize: MAX_HEAD_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS},
+      (req, res) => void this.callers.serve(req, res),
+    );
+    this.readyServer = http.createServer((req, res) =>
+      this.answerReady(req, res),
+    );
+    this.metricsServer = http.createServer(
+      (_req, res) => void this.answerMetrics(res),
+    );
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    const {settings, log} = this.options;
+    await this.network.listen(this.peerHandlers());
+    await listen(this.callerServer, settings.callerAddress);
+    await listen(this.readyServer, settings.readyAddress);
+    const {metricsPort} = settings;
+    if (metricsPort !== undefined) {
+      const {host} = splitAddress(settings.readyAddress);
+      await listen(this.metricsServer, `${host}:${metricsPort}`);
+    }
+    log.info('gateway_started', {
+      member: settings.memberId,
+      zone: settings.zone,
+    });
+  }
+
+  /** Takes a configuration over where it is newer. */
+  applyConfig(cfg: GatewayConfig): void {
+    this.config.apply(cfg);
+    this.callerServer.keepAliveTimeout = cfg.limits.idleTimeoutMs;
+    this.callerServer.headersTimeout = cfg.limits.headTimeoutMs;
+  }
+
+  /** Replaces the upstreams of all services. */
+  setUpstreams(upstreams: UpstreamsByService): void {
+    this.hasUpstreams = upstreams.size > 0;
+    this.dispatcher.setUpstreams(upstreams);
+  }
+
+  /** Replaces the list of the other gateways. */
+  setMembers(members: readonly GatewayMember[]): void {
+    this.members.setMembers(members);
+  }
+
+  /** Uses other settings; what is bound to a socket stays until a restart. */
+  reload(settings: GatewaySettings): void {
+    const before = this.context.settings;
+    if (isDeepStrictEqual(before, settings)) return;
+    this.context.settings = settings;
+    this.dispatcher.setBudget(settings.retryBudget);
+    const needsRestart = BOUND_SETTINGS.filter(
+      name => before[name] !== settings[name],
+    );
+    this.options.log.info('settings_reloaded', {
+      needsRestart: needsRestart.join(',') || undefined,
+    });
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    const {maxConfigAgeMs} = this.context.settings;
+    const maxAgeMs = (maxConfigAgeMs ?? Infinity) - FRESHNESS_MARGIN_MS;
+    return (
+      !this.isStopping &&
+      this.config.current !== null &&
+      this.hasUpstreams &&
+      this.config.ageMs < maxAgeMs
+    );
+  }
+
+  /**
+   * Stops without cutting a request off: callers are sent elsewhere, queues are
+   * handed over, and open requests end, as far as the time allows.
+   */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const {log, clock} = this.options;
+    const {settings} = this.context;
+    const startMs = clock.monotonicMs();
+    const endsAtMs = startMs + settings.stopGraceMs - STOP_MARGIN_MS;
+    log.info('gateway_stopping', {open: this.callers.open});
+    this.callers.isStopping = true;
+    this.members.leave();
+    await sleep(LINGER_MS);
+    this.callerServer.close();
+    this.callerServer.closeIdleConnections();
+    const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
+    await Promise.race([this.callers.whenIdle(), sleep(limitMs)]);
+    log.info('gateway_stopped', {cut: this.callers.open});
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.monitor.close();
+    this.usage.close();
+    this.context.dispatch.close();
+    this.dispatcher.close();
+    this.network.close();
+    for (const server of [
+      this.callerServer,
+      this.readyServer,
+      this.metricsServer,
+    ]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.context.agent.destroy();
+  }
+
+  private isOwnerOf(key: string): boolean {
+    return this.members.ownerOf(key).id === this.members.me.id;
+  }
+
+  private peerHandlers(): PeerHandlers {
+    const {dispatcher, usage} = this;
+    return {
+      [GATEWAY_METHOD.PING]: () => true,
+      [GATEWAY_METHOD.GRANT]: checkedParams(GRANT_SCHEMA, ({service, item}) =>
+        dispatcher.request(service, item),
+      ),
+      [GATEWAY_METHOD.CANCEL]: checkedParams(
+        REQUEST_REF_SCHEMA,
+        ({service, requestId}) => dispatcher.cancel(service, requestId),
+      ),
+      [GATEWAY_METHOD.STARTED]: checkedParams(
+        STARTED_SCHEMA,
+        ({service, report}) => dispatcher.started(service, report),
+      ),
+      [GATEWAY_METHOD.ENDED]: checkedParams(
+        ENDED_SCHEMA,
+        ({service, report}) => dispatcher.ended(service, report),
+      ),
+      [GATEWAY_METHOD.REPORT]: checkedParams(
+        REPORT_SCHEMA,
+        ({service, entryId, runs}) =>
+          dispatcher.reconcile(service, entryId, runs),
+      ),
+      [GATEWAY_METHOD.USAGE]: checkedParams(
+        USAGE_REPORT_SCHEMA,
+        ({memberId, usage: units}) => usage.hub.exchange(memberId, units),
+      ),
+      [GATEWAY_METHOD.DEATH]: checkedParams(
+        DEATH_SCHEMA,
+        ({fingerprint, instanceId}) =>
+          this.context.crashes.recordDeath(fingerprint, instanceId),
+      ),
+    };
+  }
+
+  /** Counts a death and tells the others, wherever the caller comes again. */
+  private announceDeath(fingerprint: string, instanceId: string): void {
+    this.context.crashes.recordDeath(fingerprint, instanceId);
+    const params = {fingerprint, instanceId};
+    for (const member of this.members.others) {
+      this.network.notify(member, GATEWAY_METHOD.DEATH, params);
+    }
+  }
+
+  private answerReady(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): void {
+    const {settings, log} = this.options;
+    if (req.url !== settings.readyPath) {
+      res.writeHead(NOT_FOUND).end();
+      return;
+    }
+    const {isReady} = this;
+    if (isReady !== this.wasReady) {
+      this.wasReady = isReady;
+      log.info('readiness_changed', {
+        isReady,
+        isStopping: this.isStopping,
+        hasUpstreams: this.hasUpstreams,
+        configVersion: this.config.current?.version,
+        configAgeMs: Math.round(this.config.ageMs),
+      });
+    }
+    res.writeHead(isReady ? OK : SERVICE_UNAVAILABLE).end();
+  }
+
+  private async answerMetrics(res: http.ServerResponse): Promise<void> {
+    const {gauge, text} = this.metrics;
+    for (const {service, waiting, running} of this.dispatcher.status()) {
+      gauge('queue_waiting', service, waiting);
+      gauge('queue_running', service, running);
+    }
+    gauge('config_version', '', this.config.current?.version ?? 0);
+    gauge('members_suspected', '', this.members.suspected.length);
+    gauge('usage_hub', '', this.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
+    res.writeHead(OK, {'content-type': 'text/plain; version=0.0.4'});
+    res.end(await text());
+  }
+}
+
+/** Splits `host:port`. */
+export function splitAddress(address: string): {host: string; port: number} {
+  const separator = address.lastIndexOf(':');
+  const port = Number(address.slice(separator + 1));
+  return {host: address.slice(0, separator), port};
+}
+
+function listen(server: http.Server, address: string): Promise<void> {
+  const {host, port} = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/member_directory.ts
@@ -0,0 +1,103 @@
+import {rankMembers} from '@fescuespool/coordination';
+import type {GatewayMember} from './types.js';
+
+/**
+ * The members that share the queues, and which of them do not answer. Who holds
+ * a key follows from rendezvous hashing, so members that see the same list agree
+ * without a word.
+ */
+export class MemberDirectory {
+  private members = new Map<string, GatewayMember>();
+  private readonly suspects = new Set<string>();
+  private readonly ranks = new Map<string, string[]>();
+  private readonly listeners: Array<() => void> = [];
+
+  constructor(private self: GatewayMember) {
+    this.members.set(self.id, self);
+  }
+
+  /** This member as it announces itself. */
+  get me(): GatewayMember {
+    return this.self;
+  }
+
+  /** All members, this one included. */
+  get all(): GatewayMember[] {
+    return [...this.members.values()];
+  }
+
+  /** The other members. */
+  get others(): GatewayMember[] {
+    return this.all.filter(member => member.id !== this.self.id);
+  }
+
+  /** Members that do not answer. */
+  get suspected(): GatewayMember[] {
+    return this.others.filter(member => this.suspects.has(member.id));
+  }
+
+  /** Calls a function after each change of owners. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Replaces the list of the other members. */
+  setMembers(members: readonly GatewayMember[]): void {
+    this.members = new Map(members.map(member => [member.id, member]));
+    this.members.set(this.self.id, this.self);
+    for (const id of [...this.suspects]) {
+      if (!this.members.has(id)) this.suspects.delete(id);
+    }
+    this.changed();
+  }
+
+  /** Announces that this member is stopping. */
+  leave(): void {
+    this.self = {...this.self, isLeaving: true};
+    this.members.set(this.self.id, this.self);
+    this.changed();
+  }
+
+  /** Passes over a member until it answers again. */
+  suspect(id: string): boolean {
+    if (id === this.self.id || this.suspects.has(id)) return false;
+    this.suspects.add(id);
+    this.changed();
+    return true;
+  }
+
+  /** Uses a member again. */
+  clear(id: string): boolean {
+    if (!this.suspects.delete(id)) return false;
+    this.changed();
+    return true;
+  }
+
+  /** Whether a member does not answer. */
+  isSuspected(id: string): boolean {
+    return this.suspects.has(id);
+  }
+
+  /** The member that holds a key, as seen from here. */
+  ownerOf(key: string): GatewayMember {
+    for (const id of this.rank(key)) {
+      const member = this.members.get(id);
+      if (member && !this.suspects.has(id)) return member;
+    }
+    return this.self;
+  }
+
+  private rank(key: string): string[] {
+    const known = this.ranks.get(key);
+    if (known) return known;
+    const ids = this.all.filter(m => !m.isLeaving).map(m => m.id);
+    const ranked = rankMembers(ids, key);
+    this.ranks.set(key, ranked);
+    return ranked;
+  }
+
+  private changed(): void {
+    this.ranks.clear();
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -0,0 +1,385 @@
+import {
+  CROSS_ZONE_COST_MS,
+  ENTRY_SILENCE_MS,
+  FAILURE_COST_MS,
+  INITIAL_RUN_MS,
+  LEARNING_RATE,
+  MAX_RETRY_AFTER_MS,
+  MAX_WAITING,
+  MIN_RECONCILE_AGE_MS,
+  MIN_RETRY_AFTER_MS,
+  PLACEMENT_WINDOW,
+  QUEUE_REFUSAL,
+  RUN_END,
+  RUN_TIME_WEIGHT,
+} from './constants.js';
+import type {RetryAllowance} from './retry_allowance.js';
+import {StartModel} from './start_model.js';
+import type {
+  EndReport,
+  QueueAnswer,
+  QueueRefusal,
+  StartReport,
+  UpstreamSpec,
+  WorkItem,
+} from './types.js';
+import {UpstreamState} from './upstream_state.js';
+import type {WaitingItem} from './waiting_list.js';
+import {WaitingList} from './waiting_list.js';
+
+/** What a queue needs from its surroundings. */
+export interface DispatchQueueOptions {
+  /** Monotonic milliseconds. */
+  readonly nowMs: () => number;
+  readonly retries: RetryAllowance;
+}
+
+/** An upstream with what it would cost a request. */
+interface Candidate {
+  readonly state: UpstreamState;
+  readonly startMs: number;
+  readonly priceMs: number;
+}
+
+/**
+ * The one queue of a service. It binds late: a request is placed only when an
+ * upstream has a free slot, the highest tier first, and inside a tier those
+ * first that can still meet their objective. It answers the load of bursts
+ * beyond the slots, where engines without priorities would mix the tiers.
+ */
+export class DispatchQueue {
+  readonly upstreams = new Map<string, UpstreamState>();
+  private readonly waiting = new WaitingList();
+  private readonly starts = new StartModel();
+  private readonly entriesHeardMs = new Map<string, number>();
+  /** Mean milliseconds of a whole run, over all upstreams. */
+  private meanRunMs = INITIAL_RUN_MS;
+  /** Speed of an ordinary upstream, in the unit of its states. */
+  private ordinaryUnitMs: number | null = null;
+
+  constructor(private readonly options: DispatchQueueOptions) {}
+
+  /** Retries that the service may still take. */
+  get retries(): RetryAllowance {
+    return this.options.retries;
+  }
+
+  /** Number of requests that wait. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
+  /** Number of granted requests that have not ended. */
+  get runningCount(): number {
+    let count = 0;
+    for (const state of this.upstreams.values()) count += state.runs.size;
+    return count;
+  }
+
+  /** Takes a request; the answer is given now or once it is placed. */
+  submit(item: WorkItem, answer: (answer: QueueAnswer) => void): void {
+    const now = this.options.nowMs();
+    this.entriesHeardMs.set(item.entryId, now);
+    if (!item.isRetry) this.options.retries.recordRequest();
+    else if (!this.options.retries.take(now)) {
+      answer(this.refusal(QUEUE_REFUSAL.BUDGET_SPENT, item.tier));
+      return;
+    }
+    const refusal = this.admit(item, now);
+    if (refusal) {
+      answer(this.refusal(refusal, item.tier));
+      return;
+    }
+    this.waiting.add({
+      item,
+      answer,
+      arrivedAtMs: now,
+      objectiveAtMs: now + item.objectiveLeftMs,
+      patienceEndsAtMs: now + item.patienceLeftMs,
+      isLate: false,
+    });
+    this.place();
+  }
+
+  /** Forgets a waiting request without an answer. */
+  cancel(requestId: string): void {
+    this.waiting.remove(requestId);
+  }
+
+  /** Records the first byte of an answer. */
+  started(report: StartReport): void {
+    const now = this.options.nowMs();
+    for (const state of this.upstreams.values()) {
+      const run = state.runs.get(report.requestId);
+      if (!run) continue;
+      const pace = this.paceOf(state);
+      this.starts.observe(run.promptTokens, report.startMs / pace);
+      state.started(report.requestId, report.load, now);
+      return;
+    }
+  }
+
+  /** Frees the slot of a run and learns from its end. */
+  ended(report: EndReport): void {
+    const now = this.options.nowMs();
+    for (const state of this.upstreams.values()) {
+      if (!state.runs.has(report.requestId)) continue;
+      state.ended(report, now);
+      if (report.end === RUN_END.COMPLETED) {
+        this.meanRunMs += LEARNING_RATE * (report.runMs - this.meanRunMs);
+        this.updateOrdinaryUnit();
+      }
+      break;
+    }
+    this.place();
+  }
+
+  /**
+   * Compares the runs of an entry with those that it reports. What it does not
+   * name has ended, and its report was lost; what is new here was granted by an
+   * earlier dispatcher.
+   */
+  reconcile(
+    entryId: string,
+    runs: readonly {requestId: string; instanceId: string}[],
+  ): void {
+    const now = this.options.nowMs();
+    this.entriesHeardMs.set(entryId, now);
+    const named = new Set(runs.map(run => run.requestId));
+    for (const state of this.upstreams.values()) {
+      for (const run of [...state.runs.values()]) {
+        const isOld = now - run.grantedAtMs > MIN_RECONCILE_AGE_MS;
+        if (run.entryId !== entryId || !isOld) continue;
+        if (!named.has(run.requestId)) state.runs.delete(run.requestId);
+      }
+    }
+    for (const {requestId, instanceId} of runs) {
+      this.adopt(entryId, requestId, instanceId, now);
+    }
+    this.place();
+  }
+
+  /** Replaces the list of upstreams, keeping what was learned. */
+  setUpstreams(specs: readonly UpstreamSpec[]): void {
+    const ids = new Set(specs.map(spec => spec.instanceId));
+    for (const id of this.upstreams.keys()) {
+      if (!ids.has(id)) this.upstreams.delete(id);
+    }
+    for (const spec of specs) {
+      const known = this.upstreams.get(spec.instanceId);
+      const isSame =
+        known?.spec.startedAtUnixMs === spec.startedAtUnixMs &&
+        known?.spec.address === spec.address;
+      if (known && isSame) known.spec = spec;
+      else this.upstreams.set(spec.instanceId, new UpstreamState(spec));
+    }
+    this.place();
+  }
+
+  /** Refuses those whose patience has ended, drops lost runs, places the rest. */
+  tick(): void {
+    const now = this.options.nowMs();
+    for (const {item, answer} of this.waiting.takeExpired(now)) {
+      answer(this.refusal(QUEUE_REFUSAL.EXPIRED, item.tier));
+    }
+    this.dropLostRuns(now);
+    this.place();
+  }
+
+  /** Hands all waiting requests to another dispatcher. */
+  close(): void {
+    for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
+  }
+
+  private admit(item: WorkItem, now: number): QueueRefusal | null {
+    if (this.upstreams.size === 0) return QUEUE_REFUSAL.NO_UPSTREAM;
+    if (item.patienceLeftMs <= 0) return QUEUE_REFUSAL.EXPIRED;
+    if (this.waiting.size >= MAX_WAITING) {
+      const last = this.waiting.takeLastBelow(item.tier);
+      if (!last) return QUEUE_REFUSAL.OVERLOADED;
+      last.answer(this.refusal(QUEUE_REFUSAL.OVERLOADED, last.item.tier));
+    }
+    const waitMs = this.expectedWaitMs(item.tier, now);
+    return waitMs > item.patienceLeftMs ? QUEUE_REFUSAL.OVERLOADED : null;
+  }
+
+  private refusal(reason: QueueRefusal, tier: number): QueueAnswer {
+    const waitMs = this.expectedWaitMs(tier, this.options.nowMs());
+    const bounded = Math.min(MAX_RETRY_AFTER_MS, waitMs);
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, bounded);
+    return {kind: 'refused', reason, retryAfterMs};
+  }
+
+  /** Milliseconds until those ahead of a new request of a tier have a slot. */
+  private expectedWaitMs(tier: number, now: number): number {
+    const ahead = this.waiting.countUpTo(tier);
+    if (ahead === 0) return 0;
+    let slotsPerMs = 0;
+    for (const state of this.upstreams.values()) {
+      if (!state.isUsable(now)) continue;
+      slotsPerMs += state.spec.slots / (this.meanRunMs * this.paceOf(state));
+    }
+    return slotsPerMs === 0 ? MAX_RETRY_AFTER_MS : ahead / slotsPerMs;
+  }
+
+  private place(): void {
+    if (this.waiting.size === 0) return;
+    const now = this.options.nowMs();
+    const usable = [...this.upstreams.values()].filter(s => s.isUsable(now));
+    let free = usable.filter(state => state.freeSlots(now) > 0);
+    let hasNewLate = false;
+    for (const waiting of this.waiting.ordered(PLACEMENT_WINDOW)) {
+      if (free.length === 0) return;
+      const wasLate = waiting.isLate;
+      const candidate = this.choose(waiting, usable, free, now);
+      if (waiting.isLate !== wasLate) hasNewLate = true;
+      if (!candidate) continue;
+      this.waiting.remove(waiting.item.requestId);
+      this.grant(waiting, candidate, now);
+      if (candidate.state.freeSlots(now) <= 0) {
+        free = free.filter(state => state !== candidate.state);
+      }
+    }
+    // Requests that turned out late go after the others, and each turns once.
+    if (hasNewLate) this.place();
+  }
+
+  /**
+   * The cheapest free upstream. Null where the request has to wait: for a busy
+   * one that meets the objective that no free one does, for one that has not
+   * failed it, or, having just become late, for those that can be in time.
+   */
+  private choose(
+    waiting: WaitingItem,
+    usable: readonly UpstreamState[],
+    free: readonly UpstreamState[],
+    now: number,
+  ): Candidate | null {
+    const {item} = waiting;
+    const others = free.filter(
+      state => !item.excluded.includes(state.spec.instanceId),
+    );
+    const allowed = others.length > 0 ? others : free;
+    // A retry at the same upstream is only for services that have no other.
+    const hasOthers = usable.some(
+      state => !item.excluded.includes(state.spec.instanceId),
+    );
+    if (others.length === 0 && hasOthers) return null;
+    const best = this.cheapest(item, allowed);
+    if (!best || waiting.isLate) return best;
+    const leftMs = waiting.objectiveAtMs - now;
+    if (best.startMs <= leftMs) return best;
+    if (this.canMeetLater(item, usable, leftMs)) return null;
+    this.waiting.markLate(waiting);
+    return null;
+  }
+
+  private cheapest(
+    item: WorkItem,
+    states: readonly UpstreamState[],
+  ): Candidate | null {
+    let best: Candidate | null = null;
+    for (const state of states) {
+      const candidate = this.price(item, state);
+      if (!best || candidate.priceMs < best.priceMs) best = candidate;
+    }
+    return best;
+  }
+
+  private price(item: WorkItem, state: UpstreamState): Candidate {
+    const pace = this.paceOf(state);
+    const pending = this.starts.prefillMs(state.pendingPromptTokens());
+    const startMs = pace * (pending + this.starts.predictMs(item.promptTokens));
+    const zoneMs = state.spec.zone === item.zone ? 0 : CROSS_ZONE_COST_MS;
+    const priceMs =
+      startMs +
+      RUN_TIME_WEIGHT * pace * this.meanRunMs +
+      FAILURE_COST_MS * state.failureShare +
+      zoneMs;
+    return {state, startMs, priceMs};
+  }
+
+  /** Whether an upstream whose slots are taken would still be in time. */
+  private canMeetLater(
+    item: WorkItem,
+    usable: readonly UpstreamState[],
+    leftMs: number,
+  ): boolean {
+    return usable.some(state => {
+      const slots = Math.max(1, state.spec.slots);
+      const slotWaitMs = (this.paceOf(state) * this.meanRunMs) / slots;
+      return slotWaitMs + this.price(item, state).startMs <= leftMs;
+    });
+  }
+
+  private grant(
+    waiting: WaitingItem,
+    {state, startMs}: Candidate,
+    now: number,
+  ): void {
+    const {item} = waiting;
+    const freeSlots = state.freeSlots(now);
+    state.runs.set(item.requestId, {
+      requestId: item.requestId,
+      entryId: item.entryId,
+      promptTokens: item.promptTokens,
+      grantedAtMs: now,
+      expectedStartMs: startMs,
+      hasStarted: false,
+    });
+    waiting.answer({
+      kind: 'placed',
+      placement: {
+        upstream: state.spec,
+        expectedStartMs: startMs,
+        waitedMs: now - waiting.arrivedAtMs,
+        freeSlots,
+      },
+    });
+  }
+
+  private adopt(
+    entryId: string,
+    requestId: string,
+    instanceId: string,
+    now: number,
+  ): void {
+    const state = this.upstreams.get(instanceId);
+    if (!state || state.runs.has(requestId)) return;
+    state.runs.set(requestId, {
+      requestId,
+      entryId,
+      promptTokens: 0,
+      grantedAtMs: now,
+      expectedStartMs: 0,
+      hasStarted: true,
+    });
+  }
+
+  private dropLostRuns(now: number): void {
+    for (const [entryId, heardMs] of this.entriesHeardMs) {
+      if (now - heardMs <= ENTRY_SILENCE_MS) continue;
+      this.entriesHeardMs.delete(entryId);
+      for (const state of this.upstreams.values()) {
+        for (const run of [...state.runs.values()]) {
+          if (run.entryId === entryId) state.runs.delete(run.requestId);
+        }
+      }
+    }
+  }
+
+  /** How much slower than an ordinary upstream; 1 while nothing is known. */
+  private paceOf(state: UpstreamState): number {
+    if (state.unitMs === null || this.ordinaryUnitMs === null) return 1;
+    return Math.max(0.05, state.unitMs / this.ordinaryUnitMs);
+  }
+
+  private updateOrdinaryUnit(): void {
+    const units: number[] = [];
+    for (const {unitMs} of this.upstreams.values()) {
+      if (unitMs !== null) units.push(unitMs);
+    }
+    units.sort((a, b) => a - b);
+    this.ordinaryUnitMs = units[Math.floor(units.length / 2)] ?? null;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/token_quota.ts
@@ -0,0 +1,146 @@
+const MS_PER_SECOND = 1_000;
+
+/** What an account may use. */
+export interface QuotaLimit {
+  readonly perSecond: number;
+  readonly burst: number;
+}
+
+interface Bucket {
+  level: number;
+  filledAtMs: number;
+  limit: QuotaLimit;
+}
+
+/**
+ * Quotas of client accounts over all members: each holds a bucket for the whole
+ * quota and takes out of it what the others report. While reports fail, the
+ * bucket fills at this member's share only.
+ */
+export class QuotaLedger {
+  private readonly buckets = new Map<string, Bucket>();
+  private readonly unreported = new Map<string, number>();
+  private share = 1;
+
+  /** Sets the part of each quota that this member's bucket is filled with. */
+  setShare(share: number): void {
+    this.share = share;
+  }
+
+  /**
+   * Charges units to an account. Answers 0 where they are within its quota, and
+   * else the milliseconds until they would be; nothing is charged then.
+   */
+  charge(
+    account: string,
+    limit: QuotaLimit,
+    units: number,
+    nowMs: number,
+  ): number {
+    const bucket = this.bucketOf(account, limit, nowMs);
+    // A request larger than the burst passes when the bucket is full.
+    const needed = Math.min(units, this.capacityOf(limit));
+    if (bucket.level < needed) {
+      const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
+      return Math.max(1, Math.ceil((needed - bucket.level) / perMs));
+    }
+    bucket.level -= units;
+    this.addUnreported(account, units);
+    return 0;
+  }
+
+  /** Gives back what was charged for a request that did not run. */
+  refund(account: string, units: number): void {
+    const bucket = this.buckets.get(account);
+    if (!bucket) return;
+    bucket.level += units;
+    this.addUnreported(account, -units);
+  }
+
+  /** Usage since the last call, by account. */
+  takeUnreported(): Record<string, number> {
+    const usage = Object.fromEntries(this.unreported);
+    this.unreported.clear();
+    return usage;
+  }
+
+  /** Takes out what other members used. */
+  applyOthers(usage: Readonly<Record<string, number>>): void {
+    for (const [account, units] of Object.entries(usage)) {
+      const bucket = this.buckets.get(account);
+      if (bucket) bucket.level -= units;
+    }
+  }
+
+  private addUnreported(account: string, units: number): void {
+    const before = this.unreported.get(account) ?? 0;
+    this.unreported.set(account, before + units);
+  }
+
+  private bucketOf(
+    account: string,
+    limit: QuotaLimit,
+    nowMs: number,
+  ): Bucket {
+    const known = this.buckets.get(account);
+    if (!known) {
+      const level = this.capacityOf(limit);
+      const bucket = {level, filledAtMs: nowMs, limit};
+      this.buckets.set(account, bucket);
+      return bucket;
+    }
+    const passedMs = nowMs - known.filledAtMs;
+    const filled = (passedMs * limit.perSecond * this.share) / MS_PER_SECOND;
+    known.filledAtMs = nowMs;
+    known.limit = limit;
+    known.level = Math.min(this.capacityOf(limit), known.level + filled);
+    return known;
+  }
+
+  private capacityOf(limit: QuotaLimit): number {
+    return Math.max(limit.burst, limit.perSecond) * this.share;
+  }
+}
+
+/** Adds up what the members used, and tells each what the others did. */
+export class UsageHub {
+  private readonly totals = new Map<string, number>();
+  /** By member: what it used itself, and what of the others it was told. */
+  private readonly members = new Map<
+    string,
+    {own: Map<string, number>; told: Map<string, number>}
+  >();
+
+  /** Takes a member's usage and answers that of the others since its last. */
+  exchange(
+    memberId: string,
+    usage: Readonly<Record<string, number>>,
+  ): Record<string, number> {
+    const ledger = this.ledgerOf(memberId);
+    for (const [account, units] of Object.entries(usage)) {
+      this.totals.set(account, (this.totals.get(account) ?? 0) + units);
+      ledger.own.set(account, (ledger.own.get(account) ?? 0) + units);
+    }
+    const others: Record<string, number> = {};
+    for (const [account, total] of this.totals) {
+      const byOthers = total - (ledger.own.get(account) ?? 0);
+      const news = byOthers - (ledger.told.get(account) ?? 0);
+      if (news === 0) continue;
+      others[account] = news;
+      ledger.told.set(account, byOthers);
+    }
+    return others;
+  }
+
+  private ledgerOf(memberId: string): {
+    own: Map<string, number>;
+    told: Map<string, number>;
+  } {
+    const known = this.members.get(memberId);
+    if (known) return known;
+    // A new member does not owe what was used before it came.
+    const ledger = {own: new Map<string, number>(), told: new Map(this.totals)};
+    this.members.set(memberId, ledger);
+    return ledger;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/upstream_state.ts
@@ -0,0 +1,152 @@
+import {
+  FAILURE_LEARNING_RATE,
+  FIRST_BENCH_MS,
+  FOREIGN_LOAD_TTL_MS,
+  LEARNING_RATE,
+  LOAD_TOLERANCE,
+  MAX_BENCH_MS,
+  MIN_STALL_MS,
+  REJECTED_FULL_MS,
+  REPLACED_BENCH_MS,
+  RUN_END,
+  STALL_FACTOR,
+} from './constants.js';
+import type {EndReport, ReportedLoad, RunEnd, UpstreamSpec} from './types.js';
+
+/** A granted request that has not ended. */
+export interface Run {
+  readonly requestId: string;
+  readonly entryId: string;
+  readonly promptTokens: number;
+  readonly grantedAtMs: number;
+  readonly expectedStartMs: number;
+  hasStarted: boolean;
+}
+
+function learn(before: number | null, sample: number): number {
+  return before === null ? sample : before + LEARNING_RATE * (sample - before);
+}
+
+/** What a dispatcher knows of one upstream. */
+export class UpstreamState {
+  readonly runs = new Map<string, Run>();
+  /**
+   * Time in milliseconds that stands for the upstream's speed: between two
+   * events of a stream, or of a whole call. Null before the first sample.
+   */
+  unitMs: number | null = null;
+  /** Share of failed runs, the newest counting most. */
+  failureShare = 0;
+  private failuresInRow = 0;
+  private benchedUntilMs = -Infinity;
+  private lastSignMs = -Infinity;
+  private foreignRuns = 0;
+  private foreignUntilMs = -Infinity;
+
+  constructor(public spec: UpstreamSpec) {}
+
+  /** Whether new work may go there. */
+  isUsable(nowMs: number): boolean {
+    if (this.spec.isLeaving || nowMs < this.benchedUntilMs) return false;
+    return !this.isStalled(nowMs);
+  }
+
+  /** Slots that are free, as far as is known. */
+  freeSlots(nowMs: number): number {
+    const foreign = nowMs < this.foreignUntilMs ? this.foreignRuns : 0;
+    // One run at a time shows whether an upstream that failed is back.
+    const limit = this.failuresInRow > 0 ? 1 : this.spec.slots;
+    return limit - this.runs.size - foreign;
+  }
+
+  /** Records a sign of life: the first byte of an answer. */
+  started(requestId: string, load: ReportedLoad | null, nowMs: number): void {
+    const run = this.runs.get(requestId);
+    if (run) run.hasStarted = true;
+    this.sawSign(nowMs);
+    this.applyLoad(load, nowMs);
+  }
+
+  /** Records the end of a run and learns from it. */
+  ended(report: EndReport, nowMs: number): void {
+    this.applyLoad(report.load, nowMs);
+    this.runs.delete(report.requestId);
+    if (report.end === RUN_END.COMPLETED) {
+      this.sawSign(nowMs);
+      this.unitMs = learn(this.unitMs, report.eventGapMs ?? report.runMs);
+    }
+    this.judge(report.end, nowMs);
+  }
+
+  /** Prompt tokens that were sent here and are not computed yet. */
+  pendingPromptTokens(): number {
+    let tokens = 0;
+    for (const run of this.runs.values()) {
+      if (!run.hasStarted) tokens += run.promptTokens;
+    }
+    return tokens;
+  }
+
+  private sawSign(nowMs: number): void {
+    this.lastSignMs = nowMs;
+    this.failuresInRow = 0;
+  }
+
+  private judge(end: RunEnd, nowMs: number): void {
+    switch (end) {
+      case RUN_END.COMPLETED:
+        this.learnFailure(0);
+        return;
+      case RUN_END.FAILED:
+        this.learnFailure(1);
+        return;
+      case RUN_END.SILENT:
+        this.learnFailure(1);
+        this.bench(nowMs);
+        return;
+      case RUN_END.UNREACHABLE:
+        this.bench(nowMs);
+        return;
+      case RUN_END.REPLACED:
+        this.benchedUntilMs = nowMs + REPLACED_BENCH_MS;
+        return;
+      case RUN_END.REJECTED:
+        this.foreignRuns = Math.max(0, this.spec.slots - this.runs.size);
+        this.foreignUntilMs = nowMs + REJECTED_FULL_MS;
+        return;
+      case RUN_END.CANCELLED:
+        return;
+    }
+  }
+
+  private learnFailure(sample: 0 | 1): void {
+    this.failureShare += FAILURE_LEARNING_RATE * (sample - this.failureShare);
+  }
+
+  private bench(nowMs: number): void {
+    // Runs that fail together are one failure.
+    if (nowMs < this.benchedUntilMs) return;
+    const pause = FIRST_BENCH_MS * 2 ** this.failuresInRow;
+    this.failuresInRow++;
+    this.benchedUntilMs = nowMs + Math.min(MAX_BENCH_MS, pause);
+  }
+
+  /** Whether something waits for its start far longer than expected. */
+  private isStalled(nowMs: number): boolean {
+    for (const run of this.runs.values()) {
+      if (run.hasStarted) continue;
+      const since = Math.max(run.grantedAtMs, this.lastSignMs);
+      const limit = Math.max(MIN_STALL_MS, STALL_FACTOR * run.expectedStartMs);
+      if (nowMs - since > limit) return true;
+    }
+    return false;
+  }
+
+  private applyLoad(load: ReportedLoad | null, nowMs: number): void {
+    if (!load) return;
+    // What the upstream counts beyond our own runs is work of others.
+    const beyond = load.running + load.waiting - this.runs.size;
+    this.foreignRuns = Math.max(0, beyond - LOAD_TOLERANCE);
+    this.foreignUntilMs = nowMs + FOREIGN_LOAD_TTL_MS;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/waiting_list.ts
@@ -0,0 +1,109 @@
+import type {QueueAnswer, WorkItem} from './types.js';
+
+/** A request that waits in a queue. */
+export interface WaitingItem {
+  readonly item: WorkItem;
+  readonly answer: (answer: QueueAnswer) => void;
+  readonly arrivedAtMs: number;
+  readonly objectiveAtMs: number;
+  readonly patienceEndsAtMs: number;
+  /** Whether no upstream can meet the objective any more. */
+  isLate: boolean;
+}
+
+/**
+ * Whether one waiting request goes before another: by tier, then those that can
+ * meet their objective, then by rank inside the tier and by what ends first.
+ */
+function compare(a: WaitingItem, b: WaitingItem): number {
+  if (a.item.tier !== b.item.tier) return a.item.tier - b.item.tier;
+  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+  if (a.item.subTier !== b.item.subTier) return a.item.subTier - b.item.subTier;
+  if (a.isLate) return a.patienceEndsAtMs - b.patienceEndsAtMs;
+  return a.objectiveAtMs - b.objectiveAtMs;
+}
+
+/** Waiting requests in the order in which they are placed. */
+export class WaitingList {
+  private readonly items: WaitingItem[] = [];
+  private readonly byId = new Map<string, WaitingItem>();
+
+  /** Number of requests that wait. */
+  get size(): number {
+    return this.items.length;
+  }
+
+  /** Adds a request at its place. */
+  add(waiting: WaitingItem): void {
+    this.remove(waiting.item.requestId);
+    this.byId.set(waiting.item.requestId, waiting);
+    this.items.splice(this.placeOf(waiting), 0, waiting);
+  }
+
+  /** Removes a request where it waits. */
+  remove(requestId: string): void {
+    const waiting = this.byId.get(requestId);
+    if (!waiting) return;
+    this.byId.delete(requestId);
+    this.items.splice(this.items.indexOf(waiting), 1);
+  }
+
+  /** Moves a request behind those of its tier that can be in time. */
+  markLate(waiting: WaitingItem): void {
+    const {requestId} = waiting.item;
+    this.remove(requestId);
+    waiting.isLate = true;
+    this.add(waiting);
+  }
+
+  /** The first requests, as a copy that survives changes. */
+  ordered(count: number): WaitingItem[] {
+    return this.items.slice(0, count);
+  }
+
+  /** Requests of a tier and of those above it. */
+  countUpTo(tier: number): number {
+    let low = 0;
+    let high = this.items.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (this.items[middle]!.item.tier <= tier) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+
+  /** Takes out the last request of the lowest tier below the given one. */
+  takeLastBelow(tier: number): WaitingItem | null {
+    const last = this.items.at(-1);
+    if (!last || last.item.tier <= tier) return null;
+    this.remove(last.item.requestId);
+    return last;
+  }
+
+  /** Takes out the requests whose callers no longer wait. */
+  takeExpired(nowMs: number): WaitingItem[] {
+    const expired = this.items.filter(
+      waiting => waiting.patienceEndsAtMs <= nowMs,
+    );
+    for (const waiting of expired) this.remove(waiting.item.requestId);
+    return expired;
+  }
+
+  /** Takes out everything. */
+  takeAll(): WaitingItem[] {
+    this.byId.clear();
+    return this.items.splice(0);
+  }
+
+  private placeOf(waiting: WaitingItem): number {
+    let low = 0;
+    let high = this.items.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (compare(this.items[middle]!, waiting) <= 0) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
--- a/packages/transport/src/errors.ts
+++ b/packages/transport/src/errors.ts
@@ -5,6 +5,8 @@
   constructor(
     readonly kind: CallErrorKind,
     message: string,
+    /** Whether the answer did not come in time. */
+    readonly isTimeout = false,
   ) {
     super(message);
     this.name = 'CallError';
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -11,13 +11,18 @@
 export interface HttpCall {
   readonly url: string;
   readonly method: string;
-  readonly headers?: http.OutgoingHttpHeaders;
+  /** Path and query to send unchanged, in place of those of the URL. */
+  readonly rawPath?: string;
+  /** Headers by name, or names and values in turn to send as they are. */
+  readonly headers?: http.OutgoingHttpHeaders | readonly string[];
   readonly body?: string | Buffer;
   /** Local address of the connection. */
   readonly localAddress?: string;
   /** Agent that keeps connections; without one the connection is fresh. */
   readonly agent?: http.Agent;
   readonly tls?: TlsMaterial;
+  /** Time in milliseconds for the connection; CONNECT_TIMEOUT_MS by default. */
+  readonly connectTimeoutMs?: number;
   /** Time in milliseconds until the head of the answer must have come. */
   readonly answerTimeoutMs?: number;
   readonly signal?: AbortSignal;
@@ -33,7 +38,8 @@
 function createRequest(call: HttpCall): http.ClientRequest {
   const options: https.RequestOptions = {
     method: call.method,
-    headers: call.headers,
+    headers: call.headers as http.OutgoingHttpHeaders | undefined,
+    ...(call.rawPath === undefined ? {} : {path: call.rawPath}),
     agent: call.agent ?? false,
     localAddress: call.localAddress,
     signal: call.signal,
@@ -54,23 +60,24 @@
   return new Promise(resolve => {
     const req = createRequest(call);
     let isConnected = false;
+    let isTimeout = false;
     const fail = (message: string): void => {
       const kind = isConnected
         ? CALL_ERROR_KIND.AMBIGUOUS
         : CALL_ERROR_KIND.NOT_SENT;
-      resolve(err(new CallError(kind, message)));
+      resolve(err(new CallError(kind, message, isTimeout)));
     };
     const connectTimer = setTimeout(
       () => req.destroy(new Error('connection timed out')),
-      CONNECT_TIMEOUT_MS,
+      call.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     );
     const answerTimer =
       call.answerTimeoutMs === undefined
         ? undefined
-        : setTimeout(
-            () => req.destroy(new Error('answer timed out')),
-            call.answerTimeoutMs,
-          );
+        : setTimeout(() => {
+            isTimeout = true;
+            req.destroy(new Error('answer timed out'));
+          }, call.answerTimeoutMs);
     const stopTimers = (): void => {
       clearTimeout(connectTimer);
       clearTimeout(answerTimer);
--- a/packages/daemon/src/peer_call.ts
+++ b/packages/transport/src/peer_call.ts
@@ -1,16 +1,16 @@
-import type {Member, PeerError} from '@fescuespool/coordination';
+import type {PeerError} from '@fescuespool/coordination';
 import {PeerError as Failure} from '@fescuespool/coordination';
-import type {PeerMethod} from '@fescuespool/protocol';
-import type {PeerNetwork} from '@fescuespool/transport';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {z} from 'zod';
+import type {PeerNetwork} from './peer_network.js';
+import type {PeerAddress} from './types.js';
 
 /** Calls a peer and checks the shape of its answer. */
 export async function callPeer<T>(
   network: PeerNetwork,
-  member: Member,
-  method: PeerMethod,
+  member: PeerAddress,
+  method: string,
   params: unknown,
   schema: z.ZodType<T>,
   timeoutMs: number,
@@ -21,3 +21,11 @@
   if (!parsed.success) return err(new Failure(member.id, 'malformed answer'));
   return ok(parsed.data);
 }
+
+/** Checks the params of a method before its handler sees them. */
+export function checkedParams<T>(
+  schema: z.ZodType<T>,
+  handler: (params: T) => unknown,
+): (params: unknown) => unknown {
+  return params => handler(schema.parse(params));
+}
--- a/packages/transport/src/peer_network.ts
+++ b/packages/transport/src/peer_network.ts
@@ -1,4 +1,3 @@
-import type {Member} from '@fescuespool/coordination';
 import {PeerError} from '@fescuespool/coordination';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
@@ -8,7 +7,7 @@
 import {CONNECT_TIMEOUT_MS} from './constants.js';
 import type {PeerHandlers} from './peer_connection.js';
 import {PeerConnection} from './peer_connection.js';
-import type {ByteCounts, TlsMaterial} from './types.js';
+import type {ByteCounts, PeerAddress, TlsMaterial} from './types.js';
 
 /** Settings of the links between daemons. */
 export interface PeerNetworkOptions {
@@ -62,7 +61,7 @@
 
   /** Calls a method of a member; a timeout in milliseconds ends the wait. */
   async call(
-    member: Member,
+    member: PeerAddress,
     method: string,
     params: unknown,
     timeoutMs: number,
@@ -86,7 +85,7 @@
   }
 
   /** Sends a message without an answer; a failure is not reported. */
-  notify(member: Member, method: string, params: unknown): void {
+  notify(member: PeerAddress, method: string, params: unknown): void {
     this.link(member)
       .then(connection => connection.notify(method, params))
       .catch(() => undefined);
@@ -117,7 +116,7 @@
     this.inbound.delete(connection);
   }
 
-  private link(member: Member): Promise<PeerConnection> {
+  private link(member: PeerAddress): Promise<PeerConnection> {
     const known = this.links.get(member.id);
     if (known?.address === member.address) return known.connection;
     if (known) this.disconnect(member.id);
@@ -131,7 +130,7 @@
     return connection;
   }
 
-  private async connect(member: Member): Promise<PeerConnection> {
+  private async connect(member: PeerAddress): Promise<PeerConnection> {
     const separator = member.address.lastIndexOf(':');
     const host = member.address.slice(0, separator);
     const port = Number(member.address.slice(separator + 1));
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -13,3 +13,10 @@
   sent: number;
   received: number;
 }
+
+/** Where a peer listens. */
+export interface PeerAddress {
+  readonly id: string;
+  /** Host and port. */
+  readonly address: string;
+}
