End a silent send only where another run may follow; use half of a quota's tolerance

Cause: slow requests that could not be repeated were ended after 250 ms and counted against their upstreams; a bucket of one burst refused what the window allows. Ruled out: longer silence for all (a hung upstream would cost every repeatable call). Change: silence limits only where a further run may follow; the bucket holds half of the tolerance as well; idle connections live up to 8 s.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -101,8 +101,11 @@
 /** Time in milliseconds for the connection that tells whether it lives. */
 export const LIVENESS_PROBE_TIMEOUT_MS = 300;
 
-/** Time in milliseconds for which an idle connection is used again. */
-export const UPSTREAM_IDLE_MS = 2_000;
+/**
+ * Time in milliseconds for which an idle connection is used again, where the
+ * upstream names no shorter one.
+ */
+export const UPSTREAM_IDLE_MS = 8_000;
 
 /** Idle connections kept to one upstream. */
 export const UPSTREAM_MAX_IDLE = 3;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,7 +113,7 @@
       this.dispatcher,
     );
     members.onChange(() => this.dispatcher.handOver());
-    const quotas = new QuotaLedger();
+    const quotas = new QuotaLedger(settings.quotaTolerance);
     this.usage = new UsageExchange(clock, members, network, quotas);
     this.context = {
       settings,
@@ -188,6 +188,7 @@
     if (isDeepStrictEqual(before, settings)) return;
     this.context.settings = settings;
     this.dispatcher.setBudget(settings.retryBudget);
+    this.context.quotas.configure(settings.quotaTolerance);
     const needsRestart = BOUND_SETTINGS.filter(
       name => before[name] !== settings[name],
     );
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -115,6 +115,12 @@
     return kind === ROUTE_KIND.IDEMPOTENT || (this.isStream && isResumable);
   }
 
+  /** Whether a further run may follow the present one. */
+  private get mayRepeat(): boolean {
+    const {maxAttempts} = this.open.admitted.route;
+    return this.isRepeatable && this.runs + 1 < maxAttempts;
+  }
+
   private mayTryAgain(outcome: SendOutcome): boolean {
     if (this.sends > MAX_REJECTED_SENDS) return false;
     if (!outcome.mayHaveRun) return true;
@@ -234,7 +240,7 @@
         body,
         // A reset on a used connection does not tell whether a request ran.
         agent: this.isRepeatable ? this.gateway.agent : null,
-        silenceMs: this.isRepeatable ? Math.round(silenceMs) : null,
+        silenceMs: this.mayRepeat ? Math.round(silenceMs) : null,
         signal: clock.signal,
       },
       this.gateway.wire,
@@ -330,7 +336,7 @@
       nowMs: this.gateway.clock.monotonicMs,
       writeHead: () => this.writeHead(exchange.res),
       onFirstEvent: () => this.tellStart(head, sentAtMs),
-      silenceMs: this.isRepeatable ? SILENT_EVENT_MS : null,
+      silenceMs: this.mayRepeat ? SILENT_EVENT_MS : null,
     });
     const {eventGapMs} = result;
     switch (result.end) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -32,6 +32,12 @@
     extra: z.number().min(0),
     windowMs: MILLISECONDS,
   }),
+  /** By how much accounts may exceed their quotas, over all gateways. */
+  quotaTolerance: z.strictObject({
+    windowMs: z.number().int().min(0),
+    ratio: z.number().min(0),
+    extra: z.number().min(0),
+  }),
   /** Milliseconds from SIGTERM until the process is killed. */
   stopGraceMs: MILLISECONDS,
 });
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -108,3 +108,6 @@
 
 /** Time in milliseconds without a report after which an entry's runs are dropped. */
 export const ENTRY_SILENCE_MS = 2_500;
+
+/** Part of a quota's tolerance that one member's bucket may use. */
+export const QUOTA_TOLERANCE_SHARE = 0.5;
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,4 +1,5 @@
-const MS_PER_SECOND = 1_000;
+import {MS_PER_SECOND} from '@fescuespool/common';
+import {QUOTA_TOLERANCE_SHARE} from './constants.js';
 
 /** What an account may use. */
 export interface QuotaLimit {
@@ -6,6 +7,19 @@
   readonly burst: number;
 }
 
+/** By how much the sum over all members may exceed a quota. */
+export interface QuotaTolerance {
+  /** Window in milliseconds over which use is summed. */
+  readonly windowMs: number;
+  /** Part of a window's quota that may be exceeded. */
+  readonly ratio: number;
+  /** Units beyond that. */
+  readonly extra: number;
+}
+
+/** No use beyond the quota. */
+const STRICT: QuotaTolerance = {windowMs: 0, ratio: 0, extra: 0};
+
 interface Bucket {
   level: number;
   filledAtMs: number;
@@ -22,6 +36,13 @@
   private readonly unreported = new Map<string, number>();
   private share = 1;
 
+  constructor(private tolerance: QuotaTolerance = STRICT) {}
+
+  /** Uses another tolerance from now on. */
+  configure(tolerance: QuotaTolerance): void {
+    this.tolerance = tolerance;
+  }
+
   /** Sets the part of each quota that this member's bucket is filled with. */
   setShare(share: number): void {
     this.share = share;
@@ -97,8 +118,16 @@
     return known;
   }
 
+  /**
+   * What a full bucket holds: the burst, and a part of what the quota may be
+   * exceeded by. The rest is left for use that was not exchanged yet.
+   */
   private capacityOf(limit: QuotaLimit): number {
-    return Math.max(limit.burst, limit.perSecond) * this.share;
+    const {windowMs, ratio, extra} = this.tolerance;
+    const perWindow = (limit.perSecond * windowMs) / MS_PER_SECOND;
+    const exceeded = ratio * (perWindow + limit.burst) + extra;
+    const tolerated = QUOTA_TOLERANCE_SHARE * exceeded;
+    return (Math.max(limit.burst, 1) + tolerated) * this.share;
   }
 }
 
