Order equal accounts by route, refuse hopeless waits at once, hold requests of a new process

Cause: all accounts have one priority, so that late requests of an urgent route stood behind others; callers were held in the queue until they left; a restarted process refused for want of its upstreams; an old dispatcher placed on leaving upstreams; a reset answer without a length looked whole; connections stayed open after a SIGTERM. Ruled out: worth as order (the configuration's priority goes first). Change: rank by account and route; waits that can't end in time are refused, remembered and preferred when they come back; grants are handed back; see the diff.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -61,9 +61,14 @@
   return tokens ? tokens.prompt + tokens.output : account.plainTokens;
 }
 
-/** Rank of a request: the account's priority goes before the route's. */
+/**
+ * Rank of a request: the account's priority goes before the route's, which still
+ * orders the requests of accounts that are equal.
+ */
 export function tierOf({route, account}: Admitted): number {
-  return Math.min(LOWEST_PRIORITY, account?.priority ?? route.priority);
+  const own = Math.min(LOWEST_PRIORITY, route.priority);
+  const first = Math.min(LOWEST_PRIORITY, account?.priority ?? own);
+  return first * (LOWEST_PRIORITY + 1) + own;
 }
 
 /** Names requests with the same path, account and body, for crash detection. */
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -1,4 +1,5 @@
 import {readBody, BodyTooLargeError} from '@fescuespool/transport';
+import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {admit, fingerprintOf} from './admission.js';
 import type {Admitted} from './admission.js';
@@ -23,6 +24,8 @@
   private readonly idleListeners: Array<() => void> = [];
   /** Whether callers are asked to open another connection. */
   isStopping = false;
+  /** Whether connections are closed and what still comes is refused. */
+  private isClosing = false;
 
   constructor(private readonly gateway: GatewayContext) {}
 
@@ -37,18 +40,33 @@
     return new Promise(resolve => this.idleListeners.push(resolve));
   }
 
+  /** Refuses what still comes, and closes connections after their answers. */
+  refuseNew(): void {
+    this.isClosing = true;
+  }
+
   /** Task of one request; it never throws. */
   async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const clock = new RequestClock(this.gateway.clock, res);
     const head = this.gateway.wire.readRequest(req);
     this.openCount++;
     if (this.isStopping) res.shouldKeepAlive = false;
+    res.once('finish', () => {
+      if (this.isClosing) req.socket.destroySoon();
+    });
     let run: RequestRun | null = null;
     let admitted: Admitted | null = null;
     let refusal: GatewayRefusalError | null = null;
     try {
       if (!head) throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
+      if (this.isClosing) {
+        throw new GatewayRefusalError(
+          GATEWAY_REFUSAL.STOPPING,
+          MIN_RETRY_AFTER_MS,
+        );
+      }
       const body = await this.readBody(req);
+      await this.gateway.whenConfigured();
       admitted = this.admit(req, head);
       const fingerprint = fingerprintOf(req.url ?? '', admitted.account, body);
       this.refuseSuspect(fingerprint);
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -11,6 +11,7 @@
 /** Why the gateway refuses a request; each reason has a counter. */
 export const GATEWAY_REFUSAL = {
   NOT_CONFIGURED: 'not_configured',
+  STOPPING: 'stopping',
   NO_ROUTE: 'no_route',
   BAD_REQUEST: 'bad_request',
   BODY_TOO_LARGE: 'body_too_large',
@@ -34,6 +35,7 @@
 /** Status of each reason; 429 and 503 promise that the request did not run. */
 export const REFUSAL_STATUS = {
   not_configured: 503,
+  stopping: 503,
   no_route: 404,
   bad_request: 400,
   body_too_large: 413,
@@ -138,6 +140,12 @@
 /** Retry-After in milliseconds while the configuration is missing or old. */
 export const NOT_READY_RETRY_MS = 500;
 
+/** Time in milliseconds for which a new process holds requests back. */
+export const CONFIGURED_WAIT_MS = 1_500;
+
+/** Upstreams that are remembered as gone; a day replaces far fewer. */
+export const MAX_GONE = 4_096;
+
 /** Margin in milliseconds by which a configuration counts as old early. */
 export const FRESHNESS_MARGIN_MS = 300;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,18 +1,22 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import {PoisonRegistry} from '@fescuespool/coordination';
+import {POISON_DEATHS, PoisonRegistry} from '@fescuespool/coordination';
+import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {QuotaLedger} from '@fescuespool/scheduling';
 import {checkedParams, PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
 import type {PeerHandlers} from '@fescuespool/transport';
+import {LRUCache} from 'lru-cache';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {CallerServer} from './caller_server.js';
 import type {BootClock} from './config_state.js';
 import {ConfigState} from './config_state.js';
 import {
+  CONFIGURED_WAIT_MS,
   FRESHNESS_MARGIN_MS,
   GATEWAY_METHOD,
   LINGER_MS,
+  MAX_GONE,
   MAX_HEAD_BYTES,
   STOP_MARGIN_MS,
   UPSTREAM_IDLE_MS,
@@ -85,6 +89,11 @@
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
   private hasUpstreams = false;
+  /** Upstreams by instance id, as this member knows them. */
+  private readonly present = new Map<string, UpstreamSpec>();
+  /** Upstreams that were known here and are no longer listed. */
+  private readonly gone = new LRUCache<string, true>({max: MAX_GONE});
+  private readonly configuredWaits = new Set<() => void>();
   private isStopping = false;
   private wasReady = false;
 
@@ -124,10 +133,13 @@
       members,
       dispatch,
       quotas,
-      crashes: new PoisonRegistry(clock, (fingerprint, deaths) =>
-        log.warn('crash_suspected', {fingerprint, deaths}),
-      ),
+      crashes: new PoisonRegistry(clock, (fingerprint, deaths) => {
+        if (deaths < POISON_DEATHS) return;
+        log.warn('crash_suspected', {fingerprint, deaths});
+      }),
       agent: new UpstreamAgent(UPSTREAM_IDLE_MS, UPSTREAM_MAX_IDLE),
+      isLeaving: upstream => this.isLeaving(upstream),
+      whenConfigured: () => this.whenConfigured(),
       random: Math.random,
       count: this.metrics.count,
       observe: this.metrics.observe,
@@ -167,6 +179,11 @@
   /** Takes a configuration over where it is newer. */
   applyConfig(cfg: GatewayConfig): void {
     this.config.apply(cfg);
+    const now = this.options.clock.monotonicMs();
+    for (const {name, quota} of cfg.accountsByKey.values()) {
+      if (quota) this.context.quotas.open(name, quota, now);
+    }
+    this.tellConfigured();
     this.callerServer.keepAliveTimeout = cfg.limits.idleTimeoutMs;
     this.callerServer.headersTimeout = cfg.limits.headTimeoutMs;
   }
@@ -174,7 +191,16 @@
   /** Replaces the upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
     this.hasUpstreams = upstreams.size > 0;
+    const before = new Set(this.present.keys());
+    this.present.clear();
+    for (const specs of upstreams.values()) {
+      for (const spec of specs) this.present.set(spec.instanceId, spec);
+    }
+    for (const id of before) {
+      if (!this.present.has(id)) this.gone.set(id, true);
+    }
     this.dispatcher.setUpstreams(upstreams);
+    this.tellConfigured();
   }
 
   /** Replaces the list of the other gateways. */
@@ -224,6 +250,7 @@
     this.callers.isStopping = true;
     this.members.leave();
     await sleep(LINGER_MS);
+    this.callers.refuseNew();
     this.callerServer.close();
     this.callerServer.closeIdleConnections();
     const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
@@ -249,6 +276,33 @@
     this.context.agent.destroy();
   }
 
+  private get isConfigured(): boolean {
+    return this.config.current !== null && this.hasUpstreams;
+  }
+
+  private async whenConfigured(): Promise<void> {
+    if (this.isConfigured) return;
+    let tell: () => void = () => undefined;
+    const configured = new Promise<void>(resolve => {
+      tell = resolve;
+      this.configuredWaits.add(tell);
+    });
+    await Promise.race([configured, sleep(CONFIGURED_WAIT_MS)]);
+    this.configuredWaits.delete(tell);
+  }
+
+  private tellConfigured(): void {
+    if (!this.isConfigured) return;
+    for (const tell of this.configuredWaits) tell();
+    this.configuredWaits.clear();
+  }
+
+  private isLeaving(upstream: UpstreamSpec): boolean {
+    const {instanceId} = upstream;
+    // One that was never seen here may be new.
+    return this.present.get(instanceId)?.isLeaving ?? this.gone.has(instanceId);
+  }
+
   private isOwnerOf(key: string): boolean {
     return this.members.ownerOf(key).id === this.members.me.id;
   }
@@ -257,8 +311,12 @@
     const {dispatcher, usage} = this;
     return {
       [GATEWAY_METHOD.PING]: () => true,
-      [GATEWAY_METHOD.GRANT]: checkedParams(GRANT_SCHEMA, ({service, item}) =>
-        dispatcher.request(service, item),
+      [GATEWAY_METHOD.GRANT]: checkedParams(
+        GRANT_SCHEMA,
+        async ({service, item}) => {
+          await this.whenConfigured();
+          return dispatcher.request(service, item);
+        },
       ),
       [GATEWAY_METHOD.CANCEL]: checkedParams(
         REQUEST_REF_SCHEMA,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {PoisonRegistry} from '@fescuespool/coordination';
-import type {QuotaLedger} from '@fescuespool/scheduling';
+import type {QuotaLedger, UpstreamSpec} from '@fescuespool/scheduling';
 import type {Agent} from 'node:http';
 import type {ConfigState} from './config_state.js';
 import type {DispatchClient} from './dispatch_client.js';
@@ -23,7 +23,11 @@
   readonly crashes: PoisonRegistry;
   /** Connections to upstreams that may be used again. */
   readonly agent: Agent;
+  /** Whether this member knows that an upstream leaves or is gone. */
+  readonly isLeaving: (upstream: UpstreamSpec) => boolean;
   readonly random: () => number;
+  /** Resolves once routes and upstreams are known, or after a bounded wait. */
+  readonly whenConfigured: () => Promise<void>;
   /** Counts the death of an upstream here and at the other members. */
   readonly announceDeath: (fingerprint: string, instanceId: string) => void;
   readonly count: GatewayMetrics['count'];
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -5,6 +5,7 @@
 const COUNT = z.number().int().min(0);
 const MILLISECONDS = z.number();
 const MAX_RUNS = 4_096;
+const MAX_TIER = 99;
 
 const LOAD = z.object({running: COUNT, waiting: COUNT}).nullable();
 
@@ -15,8 +16,8 @@
     requestId: ID,
     entryId: ID,
     zone: ID,
-    tier: COUNT.max(16),
-    subTier: COUNT.max(16),
+    tier: COUNT.max(MAX_TIER),
+    fingerprint: ID,
     promptTokens: COUNT,
     objectiveLeftMs: MILLISECONDS,
     patienceLeftMs: MILLISECONDS,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -97,6 +97,10 @@
     const {clock} = this.open;
     for (;;) {
       const placement = await this.place();
+      if (this.gateway.isLeaving(placement.upstream)) {
+        this.handBack(placement);
+        continue;
+      }
       const outcome = await this.sendTo(placement);
       if (outcome.isDone) return;
       if (!clock.isOver && this.mayTryAgain(outcome)) continue;
@@ -159,6 +163,22 @@
     );
   }
 
+  /** Returns a grant of an upstream that leaves; its granter did not know. */
+  private handBack({upstream}: Placement): void {
+    const {requestId} = this.open.head;
+    this.gateway.log.info('grant_handed_back', {
+      id: requestId,
+      upstream: upstream.instanceId,
+    });
+    this.gateway.dispatch.ended({
+      requestId,
+      end: RUN_END.LEAVING,
+      runMs: 0,
+      eventGapMs: null,
+      load: null,
+    });
+  }
+
   private workItem(): WorkItem {
     const {admitted, clock, head} = this.open;
     const {route} = admitted;
@@ -170,7 +190,7 @@
       entryId: this.gateway.members.me.id,
       zone: this.gateway.members.me.zone,
       tier: tierOf(admitted),
-      subTier: Math.min(16, route.priority),
+      fingerprint: this.open.fingerprint,
       promptTokens: head.tokens?.prompt ?? 0,
       objectiveLeftMs: Math.round(route.objectiveMs - elapsedMs),
       patienceLeftMs: Math.round(
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -84,7 +84,9 @@
         return result('caller_gone');
       }
     }
-    if (!exchange.res.complete) return result('broken');
+    if (!exchange.res.complete || exchange.hasFailed()) {
+      return result('broken');
+    }
     // A stream may end without a blank line after its last event.
     if (splitter.pendingBytes > 0) return result('broken');
     if (!position.hasHead) options.writeHead();
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -96,7 +96,7 @@
     // The connection broke; what came is no whole answer.
     return null;
   }
-  if (!res.complete) return null;
+  if (!res.complete || exchange.hasFailed()) return null;
   const {rawHeaders} = res;
   return {status: res.statusCode ?? 0, rawHeaders, body: Buffer.concat(chunks)};
 }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -4,6 +4,8 @@
   COMPLETED: 'completed',
   /** The upstream said that it did not run the request. */
   REJECTED: 'rejected',
+  /** Not sent: its entry knows that the upstream leaves or is gone. */
+  LEAVING: 'leaving',
   /** Another upstream holds the address now. */
   REPLACED: 'replaced',
   /** The upstream answered with a failure of its own, or with broken bytes. */
@@ -91,6 +93,18 @@
 /** Shortest Retry-After in milliseconds; below it a retry meets the same queue. */
 export const MIN_RETRY_AFTER_MS = 200;
 
+/** Shortest Retry-After in milliseconds of an overload: bursts last seconds. */
+export const MIN_OVERLOAD_RETRY_MS = 1_000;
+
+/** Multiple of the expected wait after which a refused caller comes back. */
+export const RETRY_WAIT_FACTOR = 2;
+
+/** Time in milliseconds for which a refused caller is expected back. */
+export const RETURN_TTL_MS = 10_000;
+
+/** Most refused callers that are remembered. */
+export const MAX_RETURNS = 4_096;
+
 /** Longest Retry-After in milliseconds. */
 export const MAX_RETRY_AFTER_MS = 5_000;
 
@@ -109,5 +123,8 @@
 /** Time in milliseconds without a report after which an entry's runs are dropped. */
 export const ENTRY_SILENCE_MS = 2_500;
 
+/** Part of a burst that a bucket starts with, since its past use is unknown. */
+export const INITIAL_BURST_SHARE = 0.25;
+
 /** Part of a quota's tolerance that one member's bucket may use. */
 export const QUOTA_TOLERANCE_SHARE = 0.5;
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,3 +1,4 @@
+import {LRUCache} from 'lru-cache';
 import {
   CROSS_ZONE_COST_MS,
   ENTRY_SILENCE_MS,
@@ -5,11 +6,15 @@
   INITIAL_RUN_MS,
   LEARNING_RATE,
   MAX_RETRY_AFTER_MS,
+  MAX_RETURNS,
   MAX_WAITING,
+  MIN_OVERLOAD_RETRY_MS,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
   PLACEMENT_WINDOW,
   QUEUE_REFUSAL,
+  RETRY_WAIT_FACTOR,
+  RETURN_TTL_MS,
   RUN_END,
   RUN_TIME_WEIGHT,
 } from './constants.js';
@@ -52,6 +57,11 @@
   private readonly waiting = new WaitingList();
   private readonly starts = new StartModel();
   private readonly entriesHeardMs = new Map<string, number>();
+  /** Contents of refused requests, whose callers may come back. */
+  private readonly returns = new LRUCache<string, true>({
+    max: MAX_RETURNS,
+    ttl: RETURN_TTL_MS,
+  });
   /** Mean milliseconds of a whole run, over all upstreams. */
   private meanRunMs = INITIAL_RUN_MS;
   /** Speed of an ordinary upstream, in the unit of its states. */
@@ -82,22 +92,30 @@
     this.entriesHeardMs.set(item.entryId, now);
     if (!item.isRetry) this.options.retries.recordRequest();
     else if (!this.options.retries.take(now)) {
-      answer(this.refusal(QUEUE_REFUSAL.BUDGET_SPENT, item.tier));
+      const retryAfterMs = MIN_RETRY_AFTER_MS;
+      answer({
+        kind: 'refused',
+        reason: QUEUE_REFUSAL.BUDGET_SPENT,
+        retryAfterMs,
+      });
       return;
     }
-    const refusal = this.admit(item, now);
-    if (refusal) {
-      answer(this.refusal(refusal, item.tier));
-      return;
-    }
-    this.waiting.add({
+    const waiting = {
       item,
       answer,
       arrivedAtMs: now,
       objectiveAtMs: now + item.objectiveLeftMs,
-      patienceEndsAtMs: now + item.patienceLeftMs,
+      // What starts later than this is not seen to start by its caller.
+      patienceEndsAtMs: now + item.patienceLeftMs - this.leastStartMs(item),
+      isReturning: this.returns.has(item.fingerprint),
       isLate: false,
-    });
+    };
+    const refusal = this.admit(waiting, now);
+    if (refusal) {
+      this.refuse(waiting, refusal);
+      return;
+    }
+    this.waiting.add(waiting);
     this.place();
   }
 
@@ -179,8 +197,11 @@
   /** Refuses those whose patience has ended, drops lost runs, places the rest. */
   tick(): void {
     const now = this.options.nowMs();
-    for (const {item, answer} of this.waiting.takeExpired(now)) {
-      answer(this.refusal(QUEUE_REFUSAL.EXPIRED, item.tier));
+    const rate = this.placesPerMs(now);
+    for (const waiting of this.waiting.takeHopeless(now, rate)) {
+      const isExpired = waiting.patienceEndsAtMs <= now;
+      const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
+      this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
     }
     this.dropLostRuns(now);
     this.place();
@@ -191,35 +212,56 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  private admit(item: WorkItem, now: number): QueueRefusal | null {
+  private admit(waiting: WaitingItem, now: number): QueueRefusal | null {
+    const {item, patienceEndsAtMs} = waiting;
     if (this.upstreams.size === 0) return QUEUE_REFUSAL.NO_UPSTREAM;
-    if (item.patienceLeftMs <= 0) return QUEUE_REFUSAL.EXPIRED;
+    if (patienceEndsAtMs <= now) return QUEUE_REFUSAL.EXPIRED;
     if (this.waiting.size >= MAX_WAITING) {
       const last = this.waiting.takeLastBelow(item.tier);
       if (!last) return QUEUE_REFUSAL.OVERLOADED;
-      last.answer(this.refusal(QUEUE_REFUSAL.OVERLOADED, last.item.tier));
+      this.refuse(last, QUEUE_REFUSAL.OVERLOADED);
     }
-    const waitMs = this.expectedWaitMs(item.tier, now);
-    return waitMs > item.patienceLeftMs ? QUEUE_REFUSAL.OVERLOADED : null;
+    const placedAtMs = now + this.expectedWaitMs(waiting, now);
+    return placedAtMs > patienceEndsAtMs ? QUEUE_REFUSAL.OVERLOADED : null;
   }
 
-  private refusal(reason: QueueRefusal, tier: number): QueueAnswer {
-    const waitMs = this.expectedWaitMs(tier, this.options.nowMs());
-    const bounded = Math.min(MAX_RETRY_AFTER_MS, waitMs);
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, bounded);
-    return {kind: 'refused', reason, retryAfterMs};
+  /** Refuses a request, and expects its caller back when there is room. */
+  private refuse(waiting: WaitingItem, reason: QueueRefusal): void {
+    const waitMs = this.expectedWaitMs(waiting, this.options.nowMs());
+    const retryAfterMs = Math.min(
+      MAX_RETRY_AFTER_MS,
+      Math.max(MIN_OVERLOAD_RETRY_MS, RETRY_WAIT_FACTOR * waitMs),
+    );
+    this.returns.set(waiting.item.fingerprint, true);
+    waiting.answer({kind: 'refused', reason, retryAfterMs});
   }
 
-  /** Milliseconds until those ahead of a new request of a tier have a slot. */
-  private expectedWaitMs(tier: number, now: number): number {
-    const ahead = this.waiting.countUpTo(tier);
+  /** Milliseconds until those ahead of a request have a slot. */
+  private expectedWaitMs(waiting: WaitingItem, now: number): number {
+    const ahead = this.waiting.countBefore(waiting);
     if (ahead === 0) return 0;
-    let slotsPerMs = 0;
+    const rate = this.placesPerMs(now);
+    return rate === 0 ? MAX_RETRY_AFTER_MS : ahead / rate;
+  }
+
+  /** Places per millisecond that end runs make. */
+  private placesPerMs(now: number): number {
+    let rate = 0;
     for (const state of this.upstreams.values()) {
       if (!state.isUsable(now)) continue;
-      slotsPerMs += state.spec.slots / (this.meanRunMs * this.paceOf(state));
+      rate += state.spec.slots / (this.meanRunMs * this.paceOf(state));
+    }
+    return rate;
+  }
+
+  /** Milliseconds to the first byte on the fastest upstream, when idle. */
+  private leastStartMs(item: WorkItem): number {
+    let pace = Infinity;
+    for (const state of this.upstreams.values()) {
+      pace = Math.min(pace, this.paceOf(state));
     }
-    return slotsPerMs === 0 ? MAX_RETRY_AFTER_MS : ahead / slotsPerMs;
+    if (pace === Infinity) return 0;
+    return pace * this.starts.predictMs(item.promptTokens);
   }
 
   private place(): void {
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,5 +1,5 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
-import {QUOTA_TOLERANCE_SHARE} from './constants.js';
+import {INITIAL_BURST_SHARE, QUOTA_TOLERANCE_SHARE} from './constants.js';
 
 /** What an account may use. */
 export interface QuotaLimit {
@@ -70,6 +70,11 @@
     return 0;
   }
 
+  /** Starts the bucket of an account, so that it fills before it is used. */
+  open(account: string, limit: QuotaLimit, nowMs: number): void {
+    this.bucketOf(account, limit, nowMs);
+  }
+
   /** Gives back what was charged for a request that did not run. */
   refund(account: string, units: number): void {
     const bucket = this.buckets.get(account);
@@ -105,7 +110,7 @@
   ): Bucket {
     const known = this.buckets.get(account);
     if (!known) {
-      const level = this.capacityOf(limit);
+      const level = INITIAL_BURST_SHARE * limit.burst * this.share;
       const bucket = {level, filledAtMs: nowMs, limit};
       this.buckets.set(account, bucket);
       return bucket;
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -15,8 +15,8 @@
   readonly zone: string;
   /** Rank of the request; 0 goes first. */
   readonly tier: number;
-  /** Order inside the tier; lower goes first among equals in time. */
-  readonly subTier: number;
+  /** Names requests with the same content, for callers that come back. */
+  readonly fingerprint: string;
   readonly promptTokens: number;
   /** Time in milliseconds until the objective for the first byte passes. */
   readonly objectiveLeftMs: number;
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -107,6 +107,7 @@
       case RUN_END.UNREACHABLE:
         this.bench(nowMs);
         return;
+      case RUN_END.LEAVING:
       case RUN_END.REPLACED:
         this.benchedUntilMs = nowMs + REPLACED_BENCH_MS;
         return;
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -7,18 +7,20 @@
   readonly arrivedAtMs: number;
   readonly objectiveAtMs: number;
   readonly patienceEndsAtMs: number;
+  /** Whether its caller was refused before, and comes back as it was told. */
+  readonly isReturning: boolean;
   /** Whether no upstream can meet the objective any more. */
   isLate: boolean;
 }
 
 /**
- * Whether one waiting request goes before another: by tier, then those that can
- * meet their objective, then by rank inside the tier and by what ends first.
+ * Order of two waiting requests: by tier, then callers that were refused before,
+ * then those that can meet their objective, and by what ends first.
  */
 function compare(a: WaitingItem, b: WaitingItem): number {
   if (a.item.tier !== b.item.tier) return a.item.tier - b.item.tier;
+  if (a.isReturning !== b.isReturning) return a.isReturning ? -1 : 1;
   if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
-  if (a.item.subTier !== b.item.subTier) return a.item.subTier - b.item.subTier;
   if (a.isLate) return a.patienceEndsAtMs - b.patienceEndsAtMs;
   return a.objectiveAtMs - b.objectiveAtMs;
 }
@@ -61,16 +63,9 @@
     return this.items.slice(0, count);
   }
 
-  /** Requests of a tier and of those above it. */
-  countUpTo(tier: number): number {
-    let low = 0;
-    let high = this.items.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if (this.items[middle]!.item.tier <= tier) low = middle + 1;
-      else high = middle;
-    }
-    return low;
+  /** Requests that would go before one, if it waited too. */
+  countBefore(waiting: WaitingItem): number {
+    return this.placeOf(waiting);
   }
 
   /** Takes out the last request of the lowest tier below the given one. */
@@ -81,13 +76,21 @@
     return last;
   }
 
-  /** Takes out the requests whose callers no longer wait. */
-  takeExpired(nowMs: number): WaitingItem[] {
-    const expired = this.items.filter(
-      waiting => waiting.patienceEndsAtMs <= nowMs,
-    );
-    for (const waiting of expired) this.remove(waiting.item.requestId);
-    return expired;
+  /**
+   * Takes out the requests that will not be placed before their callers stop
+   * waiting, at a rate of places per millisecond.
+   */
+  takeHopeless(nowMs: number, placesPerMs: number): WaitingItem[] {
+    const hopeless: WaitingItem[] = [];
+    let ahead = 0;
+    for (const waiting of this.items) {
+      const waitMs = placesPerMs > 0 ? ahead / placesPerMs : 0;
+      const placedAtMs = nowMs + waitMs;
+      if (placedAtMs < waiting.patienceEndsAtMs) ahead++;
+      else hopeless.push(waiting);
+    }
+    for (const waiting of hopeless) this.remove(waiting.item.requestId);
+    return hopeless;
   }
 
   /** Takes out everything. */
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -33,6 +33,11 @@
   readonly res: http.IncomingMessage;
   /** Ends the exchange at once. */
   readonly abort: () => void;
+  /**
+   * Whether the connection has failed. An answer that ends with its connection
+   * looks complete then, and is not.
+   */
+  readonly hasFailed: () => boolean;
 }
 
 function createRequest(call: HttpCall): http.ClientRequest {
@@ -90,13 +95,17 @@
       if (socket.connecting) socket.once('connect', connected);
       else connected();
     });
+    let hasFailed = false;
     req.on('error', error => {
+      hasFailed = true;
       stopTimers();
       fail(error.message);
     });
     req.on('response', res => {
       stopTimers();
-      resolve(ok({res, abort: () => req.destroy()}));
+      resolve(
+        ok({res, abort: () => req.destroy(), hasFailed: () => hasFailed}),
+      );
     });
     req.end(call.body);
   });
