--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -82,9 +82,15 @@
 /** Time in milliseconds for the answer to such a trial. */
 export const SUSPECT_PING_TIMEOUT_MS = 250;
 
-/** Period in milliseconds of the reports of running requests and of usage. */
+/** Period in milliseconds of the reports of running requests. */
 export const REPORT_PERIOD_MS = 300;
 
+/** Shortest period in milliseconds of the exchange of usage. */
+export const MIN_USAGE_PERIOD_MS = 100;
+
+/** Period in milliseconds for each member: bounds the hub's work to 100 a second. */
+export const USAGE_PERIOD_PER_MEMBER_MS = 10;
+
 /** Time in milliseconds for the answer to a usage report. */
 export const USAGE_TIMEOUT_MS = 250;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -337,7 +337,7 @@
       ),
       [GATEWAY_METHOD.USAGE]: checkedParams(
         USAGE_REPORT_SCHEMA,
-        ({memberId, usage: units}) => usage.hub.exchange(memberId, units),
+        ({memberId, usage: units}) => usage.answer(memberId, units),
       ),
       [GATEWAY_METHOD.DEATH]: checkedParams(
         DEATH_SCHEMA,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -83,6 +83,9 @@
 /** Schema of quota units by account. */
 export const USAGE_SCHEMA = z.record(ID, z.number());
 
+/** Schema of the hub's answer. */
+export const USAGE_ANSWER_SCHEMA = z.object({others: USAGE_SCHEMA, heard: COUNT});
+
 /** Schema of a member's usage. */
 export const USAGE_REPORT_SCHEMA = z.object({memberId: ID, usage: USAGE_SCHEMA});
 
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -1,25 +1,28 @@
 import type {Clock} from '@fescuespool/common';
-import type {QuotaLedger} from '@fescuespool/scheduling';
+import {sleep} from '@fescuespool/common';
+import type {QuotaLedger, UsageAnswer} from '@fescuespool/scheduling';
 import {UsageHub} from '@fescuespool/scheduling';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
 import {
   GATEWAY_METHOD,
-  REPORT_PERIOD_MS,
+  MIN_USAGE_PERIOD_MS,
   USAGE_HUB_KEY,
+  USAGE_PERIOD_PER_MEMBER_MS,
   USAGE_SILENCE_MS,
   USAGE_TIMEOUT_MS,
 } from './constants.js';
 import type {MemberDirectory} from './member_directory.js';
-import {USAGE_SCHEMA} from './messages.js';
+import {USAGE_ANSWER_SCHEMA} from './messages.js';
 
 /**
  * Tells the usage hub what was charged here and takes out what the others used.
- * While the hub is silent each member keeps to its own share of every quota.
+ * Members that can't be heard may use their share of every quota, so the rest
+ * keeps to what is left; one that is alone keeps to its own.
  */
 export class UsageExchange {
-  readonly hub = new UsageHub();
-  private readonly timer: NodeJS.Timeout;
+  private readonly hub = new UsageHub(USAGE_SILENCE_MS);
+  private readonly stopped = new AbortController();
   private answeredAtMs: number;
 
   constructor(
@@ -29,12 +32,27 @@
     private readonly quotas: QuotaLedger,
   ) {
     this.answeredAtMs = clock.monotonicMs();
-    this.timer = setInterval(() => void this.exchange(), REPORT_PERIOD_MS);
+    void this.run();
+  }
+
+  /** Answers a member as the hub. */
+  answer(memberId: string, usage: Record<string, number>): UsageAnswer {
+    return this.hub.exchange(memberId, usage, this.clock.monotonicMs());
   }
 
   /** Stops the exchange. */
   close(): void {
-    clearInterval(this.timer);
+    this.stopped.abort();
+  }
+
+  private async run(): Promise<void> {
+    const {signal} = this.stopped;
+    while (!signal.aborted) {
+      const count = this.members.all.length;
+      const periodMs = USAGE_PERIOD_PER_MEMBER_MS * count;
+      await sleep(Math.max(MIN_USAGE_PERIOD_MS, periodMs), signal);
+      await this.exchange();
+    }
   }
 
   private async exchange(): Promise<void> {
@@ -42,8 +60,7 @@
     const memberId = this.members.me.id;
     const usage = this.quotas.takeUnreported();
     if (hub.id === memberId) {
-      this.quotas.applyOthers(this.hub.exchange(memberId, usage));
-      this.updateShare(this.members.suspected.length === 0);
+      this.apply(this.answer(memberId, usage));
       return;
     }
     const answer = await callPeer(
@@ -51,17 +68,22 @@
       hub,
       GATEWAY_METHOD.USAGE,
       {memberId, usage},
-      USAGE_SCHEMA,
+      USAGE_ANSWER_SCHEMA,
       USAGE_TIMEOUT_MS,
     );
-    if (answer.isOk()) this.quotas.applyOthers(answer.value);
-    this.updateShare(answer.isOk());
+    if (answer.isOk()) this.apply(answer.value);
+    else this.applySilence();
+  }
+
+  private apply({others, heard}: UsageAnswer): void {
+    this.answeredAtMs = this.clock.monotonicMs();
+    this.quotas.applyOthers(others);
+    this.quotas.setShare(Math.min(1, heard / this.members.all.length));
   }
 
-  private updateShare(isAnswered: boolean): void {
-    const now = this.clock.monotonicMs();
-    if (isAnswered) this.answeredAtMs = now;
-    const isSilent = now - this.answeredAtMs > USAGE_SILENCE_MS;
-    this.quotas.setShare(isSilent ? 1 / this.members.all.length : 1);
+  private applySilence(): void {
+    const silentMs = this.clock.monotonicMs() - this.answeredAtMs;
+    if (silentMs < USAGE_SILENCE_MS) return;
+    this.quotas.setShare(1 / this.members.all.length);
   }
 }
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -136,21 +136,39 @@
   }
 }
 
+/** What a hub knows of one member. */
+interface MemberUsage {
+  /** What it used itself. */
+  readonly own: Map<string, number>;
+  /** What it was told that the others used. */
+  readonly told: Map<string, number>;
+  heardAtMs: number;
+}
+
+/** Answer of the hub to a member. */
+export interface UsageAnswer {
+  /** What the others used since the last answer, by account. */
+  readonly others: Record<string, number>;
+  /** Members whose use is known, the asking one included. */
+  readonly heard: number;
+}
+
 /** Adds up what the members used, and tells each what the others did. */
 export class UsageHub {
   private readonly totals = new Map<string, number>();
-  /** By member: what it used itself, and what of the others it was told. */
-  private readonly members = new Map<
-    string,
-    {own: Map<string, number>; told: Map<string, number>}
-  >();
+  private readonly members = new Map<string, MemberUsage>();
+
+  /** Members count as heard for a time in milliseconds. */
+  constructor(private readonly heardForMs: number) {}
 
   /** Takes a member's usage and answers that of the others since its last. */
   exchange(
     memberId: string,
     usage: Readonly<Record<string, number>>,
-  ): Record<string, number> {
+    nowMs: number,
+  ): UsageAnswer {
     const ledger = this.ledgerOf(memberId);
+    ledger.heardAtMs = nowMs;
     for (const [account, units] of Object.entries(usage)) {
       this.totals.set(account, (this.totals.get(account) ?? 0) + units);
       ledger.own.set(account, (ledger.own.get(account) ?? 0) + units);
@@ -163,17 +181,22 @@
       others[account] = news;
       ledger.told.set(account, byOthers);
     }
-    return others;
+    let heard = 0;
+    for (const {heardAtMs} of this.members.values()) {
+      if (nowMs - heardAtMs <= this.heardForMs) heard++;
+    }
+    return {others, heard};
   }
 
-  private ledgerOf(memberId: string): {
-    own: Map<string, number>;
-    told: Map<string, number>;
-  } {
+  private ledgerOf(memberId: string): MemberUsage {
     const known = this.members.get(memberId);
     if (known) return known;
     // A new member does not owe what was used before it came.
-    const ledger = {own: new Map<string, number>(), told: new Map(this.totals)};
+    const ledger = {
+      own: new Map<string, number>(),
+      told: new Map(this.totals),
+      heardAtMs: -Infinity,
+    };
     this.members.set(memberId, ledger);
     return ledger;
   }
