Tell a reset behind the last bytes of an answer without a length from its end

Also QUOTA: what was refused for its quota had been refunded although it was never charged. Ruled out: refusing all answers without a length (orderly ones are whole); the flag for socket errors alone (no error is raised then). Change: the peer's name is asked at the end of such an answer; refunds follow charges.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -56,6 +56,7 @@
     });
     let run: RequestRun | null = null;
     let admitted: Admitted | null = null;
+    let isCharged = false;
     let refusal: GatewayRefusalError | null = null;
     try {
       if (!head) throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
@@ -71,6 +72,7 @@
       const fingerprint = fingerprintOf(req.url ?? '', admitted.account, body);
       this.refuseSuspect(fingerprint);
       this.charge(admitted);
+      isCharged = true;
       const {timeoutMs} = admitted.route;
       clock.setLimit(Math.min(timeoutMs, head.deadlineMs ?? timeoutMs));
       const open = {req, res, head, body, admitted, fingerprint, clock};
@@ -80,7 +82,8 @@
       refusal = this.refuse(res, head, e, clock.hasCallerLeft);
     }
     clock.stop();
-    if (admitted && (!run || run.hasNotRun)) this.refund(admitted);
+    const hasNotRun = run?.hasNotRun ?? true;
+    if (admitted && isCharged && hasNotRun) this.refund(admitted);
     this.logEnd(res, head, admitted, run, refusal, clock);
     this.ended();
   }
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -71,8 +71,12 @@
       USAGE_ANSWER_SCHEMA,
       USAGE_TIMEOUT_MS,
     );
-    if (answer.isOk()) this.apply(answer.value);
-    else this.applySilence();
+    if (answer.isOk()) {
+      this.apply(answer.value);
+      return;
+    }
+    this.quotas.returnUnreported(usage);
+    this.applySilence();
   }
 
   private apply({others, heard}: UsageAnswer): void {
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -90,6 +90,13 @@
     return usage;
   }
 
+  /** Keeps usage for the next report, where one was not taken. */
+  returnUnreported(usage: Readonly<Record<string, number>>): void {
+    for (const [account, units] of Object.entries(usage)) {
+      this.addUnreported(account, units);
+    }
+  }
+
   /** Takes out what other members used. */
   applyOthers(usage: Readonly<Record<string, number>>): void {
     for (const [account, units] of Object.entries(usage)) {
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -103,6 +103,13 @@
     });
     req.on('response', res => {
       stopTimers();
+      if (endsWithConnection(res)) {
+        // A reset behind the last bytes is told as an end; only the peer's name
+        // tells that the connection is no longer there.
+        res.socket.prependOnceListener('end', () => {
+          hasFailed ||= res.socket.remoteAddress === undefined;
+        });
+      }
       resolve(
         ok({res, abort: () => req.destroy(), hasFailed: () => hasFailed}),
       );
@@ -111,6 +118,15 @@
   });
 }
 
+/** Whether an answer has no length of its own, and lasts as its connection. */
+function endsWithConnection(res: http.IncomingMessage): boolean {
+  const {headers} = res;
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
 /** Reads a whole body up to a bound in bytes; throws on a broken stream. */
 export async function readBody(
   stream: AsyncIterable<Buffer>,
