--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,19 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 
-const LAYERS = ['common', 'state', 'coordination', 'protocol', 'transport'];
+const LAYERS = [
+  'common',
+  'scheduling',
+  'state',
+  'coordination',
+  'protocol',
+  'transport',
+  'gateway',
+];
+
+/** Names of the users' platform, known in platform/ only. */
+const PLATFORM_NAMES =
+  '/x-response-seal|x-not-executed|x-expected-instance|x-token-count|x-credential|\\/v1\\/kv-/i';
 
 /** A layer may import only the layers below it. */
 const layerRules = LAYERS.map((layer, level) => ({
@@ -15,6 +27,7 @@
             group: [
               ...LAYERS.slice(level),
               'daemon',
+              'platform',
               'cli',
               'stand-ins',
               'bench',
@@ -28,10 +41,18 @@
 }));
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/*.d.ts', '**/node_modules/**', 'docs/api/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/*.d.ts',
+      '**/node_modules/**',
+      'docs/api/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     plugins: {jsdoc},
     rules: {
       'jsdoc/require-jsdoc': [
@@ -63,6 +84,10 @@
           selector: 'ExportDefaultDeclaration',
           message: 'Use named exports.',
         },
+        {
+          selector: `Literal[value=${PLATFORM_NAMES}]`,
+          message: 'Only platform/ knows the names of the platform.',
+        },
       ],
       eqeqeq: ['error', 'always', {null: 'ignore'}],
       'prefer-const': 'error',
@@ -70,6 +95,16 @@
       'max-lines': ['error', {max: 400}],
     },
   },
+  {
+    files: ['platform/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': 'off',
+      'no-restricted-imports': [
+        'error',
+        {patterns: ['@fescuespool/*/src/*', '@fescuespool/*/dist/*']},
+      ],
+    },
+  },
   {files: ['**/*.test.ts'], rules: {'max-lines': 'off'}},
   ...layerRules,
 );
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,11 @@
 import {PEER_METHOD, PROBE_SCHEMA} from '@fescuespool/protocol';
 import type {VmListing} from '@fescuespool/state';
 import {ActiveConfig, ClaimStore, ConfigStore} from '@fescuespool/state';
-import {callPeer, createPlatformClient, PeerNetwork} from '@fescuespool/transport';
+import {
+  callPeer,
+  createPlatformClient,
+  PeerNetwork,
+} from '@fescuespool/transport';
 import {ClaimGate} from './claim_gate.js';
 import {ConfigSync} from './config_sync.js';
 import {FREEZE_CHECK_MS, FREEZE_GAP_MS, GAUGE_PERIOD_MS} from './constants.js';
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -63,9 +63,12 @@
     [PEER_METHOD.PREEMPT]: checkedParams(REQUEST_REF_SCHEMA, ref =>
       open.preempt(ref.requestId),
     ),
-    [PEER_METHOD.VERIFY]: checkedParams(REQUEST_LIST_SCHEMA, ({requestIds}) => ({
-      requestIds: grants.endedAmong(requestIds),
-    })),
+    [PEER_METHOD.VERIFY]: checkedParams(
+      REQUEST_LIST_SCHEMA,
+      ({requestIds}) => ({
+        requestIds: grants.endedAmong(requestIds),
+      }),
+    ),
     [PEER_METHOD.REGISTER]: checkedParams(REGISTER_SCHEMA, message =>
       dispatcher.register(message),
     ),
@@ -76,10 +79,13 @@
     [PEER_METHOD.CONFIG_SECTION]: checkedParams(CONFIG_SECTION_SCHEMA, ref => ({
       section: sync.sectionOf(ref.name, ref.key),
     })),
-    [PEER_METHOD.CONFIG_ANNOUNCE]: checkedParams(CONFIG_ANNOUNCE_SCHEMA, params => {
-      const from: Member = params.from;
-      void sync.announced(params.entry, from);
-    }),
+    [PEER_METHOD.CONFIG_ANNOUNCE]: checkedParams(
+      CONFIG_ANNOUNCE_SCHEMA,
+      params => {
+        const from: Member = params.from;
+        void sync.announced(params.entry, from);
+      },
+    ),
     [PEER_METHOD.VM_LIST]: () => sync.vmList,
     [PEER_METHOD.CLAIM_STATUS]: checkedParams(CLAIM_REF_SCHEMA, ref => ({
       state: gate.kept.stateOf(ref.nonce),
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -2,7 +2,12 @@
 import {GATEWAY_REFUSAL, NOT_READY_RETRY_MS} from './constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {RouteTable} from './route_table.js';
-import type {ClientAccount, GatewayConfig, RequestHead, Route} from './types.js';
+import type {
+  ClientAccount,
+  GatewayConfig,
+  RequestHead,
+  Route,
+} from './types.js';
 
 /** Lowest rank, for what names none. */
 const LOWEST_PRIORITY = 9;
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -216,7 +216,9 @@
       return;
     }
     log.info('request_ended', fields);
-    const outcome = clock.hasCallerLeft ? 'caller_left' : String(res.statusCode);
+    const outcome = clock.hasCallerLeft
+      ? 'caller_left'
+      : String(res.statusCode);
     this.gateway.count('ended', {outcome});
     this.gateway.observe('answer_ms', elapsedMs);
   }
--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -23,8 +23,7 @@
 
 /** Answer to a request for an upstream; `aborted` where its caller left. */
 export type GrantAnswer =
-  | Exclude<QueueAnswer, {kind: 'moved'}>
-  | {readonly kind: 'aborted'};
+  Exclude<QueueAnswer, {kind: 'moved'}> | {readonly kind: 'aborted'};
 
 interface GrantedRun {
   readonly service: string;
@@ -196,7 +195,10 @@
 
   /** Tells the holder of each queue what runs here, also once nothing does. */
   private report(): void {
-    const byService = new Map<string, {requestId: string; instanceId: string}[]>();
+    const byService = new Map<
+      string,
+      {requestId: string; instanceId: string}[]
+    >();
     for (const service of this.reportedTo.keys()) byService.set(service, []);
     for (const [requestId, {service, instanceId}] of this.running) {
       const runs = byService.get(service) ?? [];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,11 @@
 import {POISON_DEATHS, PoisonRegistry} from '@fescuespool/coordination';
 import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {QuotaLedger} from '@fescuespool/scheduling';
-import {checkedParams, PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
+import {
+  checkedParams,
+  PeerNetwork,
+  UpstreamAgent,
+} from '@fescuespool/transport';
 import type {PeerHandlers} from '@fescuespool/transport';
 import {LRUCache} from 'lru-cache';
 import http from 'node:http';
@@ -148,7 +152,10 @@
     };
     this.callers = new CallerServer(this.context);
     this.callerServer = http.createServer(
-      {maxHeaderSize: MAX_HEAD_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS},
+      {
+        maxHeaderSize: MAX_HEAD_BYTES,
+        keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+      },
       (req, res) => void this.callers.serve(req, res),
     );
     this.readyServer = http.createServer((req, res) =>
@@ -326,9 +333,8 @@
         STARTED_SCHEMA,
         ({service, report}) => dispatcher.started(service, report),
       ),
-      [GATEWAY_METHOD.ENDED]: checkedParams(
-        ENDED_SCHEMA,
-        ({service, report}) => dispatcher.ended(service, report),
+      [GATEWAY_METHOD.ENDED]: checkedParams(ENDED_SCHEMA, ({service, report}) =>
+        dispatcher.ended(service, report),
       ),
       [GATEWAY_METHOD.REPORT]: checkedParams(
         REPORT_SCHEMA,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -84,10 +84,16 @@
 export const USAGE_SCHEMA = z.record(ID, z.number());
 
 /** Schema of the hub's answer. */
-export const USAGE_ANSWER_SCHEMA = z.object({others: USAGE_SCHEMA, heard: COUNT});
+export const USAGE_ANSWER_SCHEMA = z.object({
+  others: USAGE_SCHEMA,
+  heard: COUNT,
+});
 
 /** Schema of a member's usage. */
-export const USAGE_REPORT_SCHEMA = z.object({memberId: ID, usage: USAGE_SCHEMA});
+export const USAGE_REPORT_SCHEMA = z.object({
+  memberId: ID,
+  usage: USAGE_SCHEMA,
+});
 
 /** Schema of the death of an upstream with a request in flight. */
 export const DEATH_SCHEMA = z.object({fingerprint: ID, instanceId: ID});
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,5 +1,14 @@
-import type {EndReport, Placement, RunEnd, WorkItem} from '@fescuespool/scheduling';
-import {MIN_RETRY_AFTER_MS, QUEUE_REFUSAL, RUN_END} from '@fescuespool/scheduling';
+import type {
+  EndReport,
+  Placement,
+  RunEnd,
+  WorkItem,
+} from '@fescuespool/scheduling';
+import {
+  MIN_RETRY_AFTER_MS,
+  QUEUE_REFUSAL,
+  RUN_END,
+} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Admitted} from './admission.js';
@@ -21,7 +30,11 @@
 import {relayStream} from './stream_relay.js';
 import type {AnswerHead, GatewayRefusal, RequestHead} from './types.js';
 import type {HeldAnswer, SendResult} from './upstream_send.js';
-import {acceptsConnections, holdAnswer, sendToUpstream} from './upstream_send.js';
+import {
+  acceptsConnections,
+  holdAnswer,
+  sendToUpstream,
+} from './upstream_send.js';
 
 /** Statuses that promise that a request has not run and never will. */
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -267,10 +280,7 @@
     );
   }
 
-  private async take(
-    sent: SendResult,
-    sentAtMs: number,
-  ): Promise<SendOutcome> {
+  private async take(sent: SendResult, sentAtMs: number): Promise<SendOutcome> {
     switch (sent.kind) {
       case 'unreachable':
         return {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -269,12 +269,15 @@
     const now = this.options.nowMs();
     const usable = [...this.upstreams.values()].filter(s => s.isUsable(now));
     let free = usable.filter(state => state.freeSlots(now) > 0);
-    let hasNewLate = false;
     for (const waiting of this.waiting.ordered(PLACEMENT_WINDOW)) {
       if (free.length === 0) return;
       const wasLate = waiting.isLate;
       const candidate = this.choose(waiting, usable, free, now);
-      if (waiting.isLate !== wasLate) hasNewLate = true;
+      if (waiting.isLate !== wasLate) {
+        // Its place has changed: others of its tier go first, lower tiers don't.
+        this.place();
+        return;
+      }
       if (!candidate) continue;
       this.waiting.remove(waiting.item.requestId);
       this.grant(waiting, candidate, now);
@@ -282,8 +285,6 @@
         free = free.filter(state => state !== candidate.state);
       }
     }
-    // Requests that turned out late go after the others, and each turns once.
-    if (hasNewLate) this.place();
   }
 
   /**
--- /dev/null
+++ b/packages/scheduling/src/token_quota.test.ts
@@ -0,0 +1,116 @@
+import {describe, expect, it} from 'vitest';
+import {QuotaLedger, UsageHub} from './token_quota.js';
+
+const LIMIT = {perSecond: 1_000, burst: 1_000};
+const WINDOW_MS = 8_000;
+const TOLERANCE = {windowMs: WINDOW_MS, ratio: 0.1, extra: 2_000};
+
+/** Members that exchange their usage through one hub. */
+class Fleet {
+  readonly hub = new UsageHub(1_000);
+  readonly ledgers: QuotaLedger[];
+  used = 0;
+
+  constructor(count: number) {
+    this.ledgers = Array.from(
+      {length: count},
+      () => new QuotaLedger(TOLERANCE),
+    );
+  }
+
+  exchange(nowMs: number, silent: readonly number[] = []): void {
+    this.ledgers.forEach((ledger, i) => {
+      if (silent.includes(i)) {
+        ledger.setShare(1 / this.ledgers.length);
+        return;
+      }
+      const usage = ledger.takeUnreported();
+      const {others, heard} = this.hub.exchange(`m${i}`, usage, nowMs);
+      ledger.applyOthers(others);
+      ledger.setShare(heard / this.ledgers.length);
+    });
+  }
+
+  /** Every member asks for as much as it gets, each 10 ms. */
+  press(untilMs: number, silent: readonly number[] = []): number {
+    let used = 0;
+    for (let now = 0; now < untilMs; now += 10) {
+      for (const ledger of this.ledgers) {
+        if (ledger.charge('a', LIMIT, 50, now) === 0) used += 50;
+      }
+      if (now % 100 === 0) this.exchange(now, silent);
+    }
+    return used;
+  }
+}
+
+const ALLOWED =
+  ((LIMIT.perSecond * WINDOW_MS) / 1_000 + LIMIT.burst) * 1.1 + 2_000;
+
+describe('QuotaLedger', () => {
+  it('keeps the sum of four pressing members within a window', () => {
+    expect(new Fleet(4).press(WINDOW_MS)).toBeLessThanOrEqual(ALLOWED);
+  });
+
+  it('keeps it while one member can not be heard', () => {
+    expect(new Fleet(4).press(WINDOW_MS, [2])).toBeLessThanOrEqual(ALLOWED);
+  });
+
+  it('serves an account whose callers all sit at one member', () => {
+    const fleet = new Fleet(4);
+    let used = 0;
+    for (let now = 0; now < WINDOW_MS; now += 10) {
+      if (fleet.ledgers[0]!.charge('a', LIMIT, 50, now) === 0) used += 50;
+      if (now % 100 === 0) fleet.exchange(now);
+    }
+    expect(used).toBeGreaterThanOrEqual(LIMIT.perSecond * 8 * 0.95);
+  });
+
+  it('tells when a refused request would pass, and that is true', () => {
+    const ledger = new QuotaLedger();
+    ledger.open('a', LIMIT, 0);
+    const waitMs = ledger.charge('a', LIMIT, 900, 0);
+    expect(waitMs).toBeGreaterThan(0);
+    expect(ledger.charge('a', LIMIT, 900, waitMs - 2)).toBeGreaterThan(0);
+    expect(ledger.charge('a', LIMIT, 900, waitMs)).toBe(0);
+  });
+
+  it('gives back what did not run, and reports it so', () => {
+    const ledger = new QuotaLedger();
+    ledger.open('a', LIMIT, 0);
+    expect(ledger.charge('a', LIMIT, 200, 0)).toBe(0);
+    ledger.refund('a', 200);
+    expect(ledger.takeUnreported()).toEqual({a: 0});
+    expect(ledger.charge('a', LIMIT, 200, 0)).toBe(0);
+  });
+
+  it('keeps usage that could not be reported', () => {
+    const ledger = new QuotaLedger();
+    ledger.open('a', LIMIT, 0);
+    ledger.charge('a', LIMIT, 100, 0);
+    ledger.returnUnreported(ledger.takeUnreported());
+    expect(ledger.takeUnreported()).toEqual({a: 100});
+  });
+
+  it('starts a new member below a full bucket', () => {
+    const ledger = new QuotaLedger(TOLERANCE);
+    expect(ledger.charge('a', LIMIT, 900, 0)).toBeGreaterThan(0);
+  });
+});
+
+describe('UsageHub', () => {
+  it('does not charge a new member for what was before it', () => {
+    const hub = new UsageHub(1_000);
+    hub.exchange('m1', {a: 500}, 0);
+    expect(hub.exchange('m2', {}, 1).others).toEqual({});
+    hub.exchange('m1', {a: 7}, 2);
+    expect(hub.exchange('m2', {}, 3).others).toEqual({a: 7});
+  });
+
+  it('forgets members that fell silent', () => {
+    const hub = new UsageHub(1_000);
+    hub.exchange('m1', {}, 0);
+    expect(hub.exchange('m2', {}, 500).heard).toBe(2);
+    expect(hub.exchange('m2', {}, 1_500).heard).toBe(1);
+  });
+});
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -110,11 +110,7 @@
     this.unreported.set(account, before + units);
   }
 
-  private bucketOf(
-    account: string,
-    limit: QuotaLimit,
-    nowMs: number,
-  ): Bucket {
+  private bucketOf(account: string, limit: QuotaLimit, nowMs: number): Bucket {
     const known = this.buckets.get(account);
     if (!known) {
       const level = INITIAL_BURST_SHARE * limit.burst * this.share;
--- a/packages/transport/src/http_client.test.ts
+++ b/packages/transport/src/http_client.test.ts
@@ -39,7 +39,9 @@
     for (const [name, end] of Object.entries(ENDINGS)) {
       it(`has failed after ${name}`, async () => {
         const url = await serve(end);
-        const exchange = (await openExchange({url, method: 'GET'}))._unsafeUnwrap();
+        const exchange = (
+          await openExchange({url, method: 'GET'})
+        )._unsafeUnwrap();
         await readBody(exchange.res, 1_000_000).catch(() => undefined);
         expect(exchange.hasFailed() || !exchange.res.complete).toBe(true);
       });
@@ -47,7 +49,9 @@
 
     it('is whole after an orderly end', async () => {
       const url = await serve(socket => socket.end(`${HEAD}whole`));
-      const exchange = (await openExchange({url, method: 'GET'}))._unsafeUnwrap();
+      const exchange = (
+        await openExchange({url, method: 'GET'})
+      )._unsafeUnwrap();
       const body = await readBody(exchange.res, 1_000);
       expect(body.toString()).toBe('whole');
       expect(exchange.hasFailed()).toBe(false);
@@ -64,7 +68,9 @@
           socket.end('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
         }),
       );
-      await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', resolve),
+      );
       const {port} = server.address() as AddressInfo;
       const url = `http://127.0.0.1:${port}`;
       const rawPath = '/a/../b//c?x=%20&y';
