Free the slots of entries that were cut off when their runs must have ended

Ruled out: dropping them at once (what they run goes on for a while). Change: runs of an entry that does not answer count for the mean length of a run; an upstream connection gets 250 ms; first events are logged; 0.7 of a quota's tolerance.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -104,7 +104,7 @@
 export const USAGE_HUB_KEY = 'usage-hub';
 
 /** Time in milliseconds for a connection to an upstream. */
-export const UPSTREAM_CONNECT_TIMEOUT_MS = 400;
+export const UPSTREAM_CONNECT_TIMEOUT_MS = 250;
 
 /** Time in milliseconds for the connection that tells whether it lives. */
 export const LIVENESS_PROBE_TIMEOUT_MS = 300;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -64,6 +64,11 @@
     this.queueOf(service).reconcile(entryId, runs);
   }
 
+  /** Notes that a member does not answer. */
+  memberLost(memberId: string): void {
+    for (const queue of this.queues.values()) queue.entryLost(memberId);
+  }
+
   /** Replaces the upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
     this.upstreams = upstreams;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,6 +126,7 @@
       this.dispatcher,
     );
     members.onChange(() => this.dispatcher.handOver());
+    members.onSuspect(id => this.dispatcher.memberLost(id));
     const quotas = new QuotaLedger(settings.quotaTolerance);
     this.usage = new UsageExchange(clock, members, network, quotas);
     this.context = {
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -11,6 +11,7 @@
   private readonly suspects = new Set<string>();
   private readonly ranks = new Map<string, string[]>();
   private readonly listeners: Array<() => void> = [];
+  private readonly suspectListeners: Array<(memberId: string) => void> = [];
 
   constructor(private self: GatewayMember) {
     this.members.set(self.id, self);
@@ -36,6 +37,11 @@
     return this.others.filter(member => this.suspects.has(member.id));
   }
 
+  /** Calls a function with each member that stops to answer. */
+  onSuspect(listener: (memberId: string) => void): void {
+    this.suspectListeners.push(listener);
+  }
+
   /** Calls a function after each change of owners. */
   onChange(listener: () => void): void {
     this.listeners.push(listener);
@@ -62,6 +68,7 @@
   suspect(id: string): boolean {
     if (id === this.self.id || this.suspects.has(id)) return false;
     this.suspects.add(id);
+    for (const listener of this.suspectListeners) listener(id);
     this.changed();
     return true;
   }
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -77,6 +77,8 @@
   private sends = 0;
   private queuedMs = 0;
   private failure: HeldAnswer | null = null;
+  /** Milliseconds from the request to the first event of its stream. */
+  private firstEventMs: number | null = null;
   private readonly excluded: string[] = [];
   private readonly position: StreamPosition;
   private readonly service: string;
@@ -102,6 +104,7 @@
       sends: this.sends,
       runs: this.runs,
       queuedMs: Math.round(this.queuedMs),
+      ...(this.firstEventMs === null ? {} : {firstEventMs: this.firstEventMs}),
     };
   }
 
@@ -440,7 +443,9 @@
     const startMs = Math.round(this.gateway.clock.monotonicMs() - sentAtMs);
     const {requestId} = this.open.head;
     this.gateway.dispatch.started({requestId, startMs, load: head.load});
-    if (this.isStream) this.gateway.observe('first_event_ms', startMs);
+    if (!this.isStream) return;
+    this.gateway.observe('first_event_ms', startMs);
+    this.firstEventMs ??= Math.round(this.open.clock.elapsedMs);
   }
 
   private writeHead(answer: IncomingMessage): void {
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -127,4 +127,4 @@
 export const INITIAL_BURST_SHARE = 0.25;
 
 /** Part of a quota's tolerance that one member's bucket may use. */
-export const QUOTA_TOLERANCE_SHARE = 0.4;
+export const QUOTA_TOLERANCE_SHARE = 0.7;
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -168,6 +168,17 @@
       expect(bed.order).toEqual(['lost', 'next']);
     });
 
+    it('frees the slots of a lost entry once its runs must have ended', () => {
+      const bed = new Bed([upstream('u')]);
+      bed.submit(work('lost', {entryId: 'other'}));
+      bed.submit(work('next'));
+      bed.queue.entryLost('other');
+      bed.advance(100);
+      expect(bed.order).toEqual(['lost']);
+      bed.advance(500);
+      expect(bed.order).toEqual(['lost', 'next']);
+    });
+
     it('takes over what an entry reports from an earlier dispatcher', () => {
       const bed = new Bed([upstream('u')]);
       bed.queue.reconcile(ENTRY, [{requestId: 'old', instanceId: 'u'}]);
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -28,6 +28,7 @@
   UpstreamSpec,
   WorkItem,
 } from './types.js';
+import type {Run} from './upstream_state.js';
 import {UpstreamState} from './upstream_state.js';
 import type {WaitingItem} from './waiting_list.js';
 import {WaitingList} from './waiting_list.js';
@@ -57,6 +58,8 @@
   private readonly waiting = new WaitingList();
   private readonly starts = new StartModel();
   private readonly entriesHeardMs = new Map<string, number>();
+  /** Entries that do not answer. */
+  private readonly lostEntries = new Set<string>();
   /** Contents of refused requests, whose callers may come back. */
   private readonly returns = new LRUCache<string, true>({
     max: MAX_RETURNS,
@@ -89,7 +92,7 @@
   /** Takes a request; the answer is given now or once it is placed. */
   submit(item: WorkItem, answer: (answer: QueueAnswer) => void): void {
     const now = this.options.nowMs();
-    this.entriesHeardMs.set(item.entryId, now);
+    this.heard(item.entryId, now);
     if (!item.isRetry) this.options.retries.recordRequest();
     else if (!this.options.retries.take(now)) {
       const retryAfterMs = MIN_RETRY_AFTER_MS;
@@ -162,7 +165,7 @@
     runs: readonly {requestId: string; instanceId: string}[],
   ): void {
     const now = this.options.nowMs();
-    this.entriesHeardMs.set(entryId, now);
+    this.heard(entryId, now);
     const named = new Set(runs.map(run => run.requestId));
     for (const state of this.upstreams.values()) {
       for (const run of [...state.runs.values()]) {
@@ -194,6 +197,14 @@
     this.place();
   }
 
+  /**
+   * Notes that an entry does not answer. What it runs counts for as long as such
+   * a run lasts; its end may never be told.
+   */
+  entryLost(entryId: string): void {
+    this.lostEntries.add(entryId);
+  }
+
   /** Refuses those whose patience has ended, drops lost runs, places the rest. */
   tick(): void {
     const now = this.options.nowMs();
@@ -399,14 +410,34 @@
     });
   }
 
+  private heard(entryId: string, now: number): void {
+    this.entriesHeardMs.set(entryId, now);
+    this.lostEntries.delete(entryId);
+  }
+
   private dropLostRuns(now: number): void {
     for (const [entryId, heardMs] of this.entriesHeardMs) {
       if (now - heardMs <= ENTRY_SILENCE_MS) continue;
       this.entriesHeardMs.delete(entryId);
-      for (const state of this.upstreams.values()) {
-        for (const run of [...state.runs.values()]) {
-          if (run.entryId === entryId) state.runs.delete(run.requestId);
-        }
+      this.lostEntries.delete(entryId);
+      this.dropRuns(entryId, () => true);
+    }
+    for (const entryId of this.lostEntries) {
+      this.dropRuns(entryId, (run, state) => {
+        const ageMs = now - run.grantedAtMs;
+        return ageMs > this.meanRunMs * this.paceOf(state);
+      });
+    }
+  }
+
+  private dropRuns(
+    entryId: string,
+    isOver: (run: Run, state: UpstreamState) => boolean,
+  ): void {
+    for (const state of this.upstreams.values()) {
+      for (const run of [...state.runs.values()]) {
+        if (run.entryId !== entryId || !isOver(run, state)) continue;
+        state.runs.delete(run.requestId);
       }
     }
   }
