Split requests, queue and gateway by their jobs

Change: an attempt at an upstream is a class of its own; speed and silent entries leave the queue; peer handlers and status servers leave the gateway. A retry that is refused passes on the failure that an upstream gave before, which was lost. Behaviour else as it was. Ruled out: nothing.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -136,8 +136,10 @@
 /** Multiple of the expected start after which a repeatable send is given up. */
 export const SILENT_START_FACTOR = 5;
 
-/** Least such time in milliseconds for a stream, and for another call. */
+/** Least such time in milliseconds for a stream. */
 export const MIN_SILENT_STREAM_MS = 900;
+
+/** Least such time in milliseconds for another call. */
 export const MIN_SILENT_CALL_MS = 250;
 
 /** Silence in milliseconds in a resumable stream after which it is resumed. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,15 +3,11 @@
 import {POISON_DEATHS, PoisonRegistry} from '@fescuespool/coordination';
 import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {QuotaLedger} from '@fescuespool/scheduling';
-import {
-  checkedParams,
-  PeerNetwork,
-  UpstreamAgent,
-} from '@fescuespool/transport';
-import type {PeerHandlers} from '@fescuespool/transport';
+import {PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
 import {LRUCache} from 'lru-cache';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
+import {listenOn, splitAddress} from './address.js';
 import {CallerServer} from './caller_server.js';
 import type {BootClock} from './config_state.js';
 import {ConfigState} from './config_state.js';
@@ -34,23 +30,13 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {MemberDirectory} from './member_directory.js';
-import {
-  DEATH_SCHEMA,
-  ENDED_SCHEMA,
-  GRANT_SCHEMA,
-  REPORT_SCHEMA,
-  REQUEST_REF_SCHEMA,
-  STARTED_SCHEMA,
-  USAGE_REPORT_SCHEMA,
-} from './messages.js';
+import {createGatewayHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
+import {createMetricsServer, createReadyServer} from './status_servers.js';
 import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
 import {UsageExchange} from './usage_exchange.js';
 
-const OK = 200;
-const NOT_FOUND = 404;
-const SERVICE_UNAVAILABLE = 503;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
 /** Settings that are bound to sockets and names. */
@@ -99,7 +85,6 @@
   private readonly gone = new LRUCache<string, true>({max: MAX_GONE});
   private readonly configuredWaits = new Set<() => void>();
   private isStopping = false;
-  private wasReady = false;
 
   constructor(private readonly options: GatewayOptions) {
     const {settings, clock, bootMs, log, wire} = options;
@@ -159,24 +144,33 @@
       },
       (req, res) => void this.callers.serve(req, res),
     );
-    this.readyServer = http.createServer((req, res) =>
-      this.answerReady(req, res),
+    this.readyServer = createReadyServer(
+      settings.readyPath,
+      () => this.isReady,
+      isReady => this.logReadiness(isReady),
     );
-    this.metricsServer = http.createServer(
-      (_req, res) => void this.answerMetrics(res),
+    this.metricsServer = createMetricsServer(this.metrics, () =>
+      this.setGauges(),
     );
   }
 
   /** Starts to listen. */
   async start(): Promise<void> {
     const {settings, log} = this.options;
-    await this.network.listen(this.peerHandlers());
-    await listen(this.callerServer, settings.callerAddress);
-    await listen(this.readyServer, settings.readyAddress);
+    await this.network.listen(
+      createGatewayHandlers({
+        dispatcher: this.dispatcher,
+        usage: this.usage,
+        crashes: this.context.crashes,
+        whenConfigured: () => this.whenConfigured(),
+      }),
+    );
+    await listenOn(this.callerServer, settings.callerAddress);
+    await listenOn(this.readyServer, settings.readyAddress);
     const {metricsPort} = settings;
     if (metricsPort !== undefined) {
       const {host} = splitAddress(settings.readyAddress);
-      await listen(this.metricsServer, `${host}:${metricsPort}`);
+      await listenOn(this.metricsServer, `${host}:${metricsPort}`);
     }
     log.info('gateway_started', {
       member: settings.memberId,
@@ -315,45 +309,6 @@
     return this.members.ownerOf(key).id === this.members.me.id;
   }
 
-  private peerHandlers(): PeerHandlers {
-    const {dispatcher, usage} = this;
-    return {
-      [GATEWAY_METHOD.PING]: () => true,
-      [GATEWAY_METHOD.GRANT]: checkedParams(
-        GRANT_SCHEMA,
-        async ({service, item}) => {
-          await this.whenConfigured();
-          return dispatcher.request(service, item);
-        },
-      ),
-      [GATEWAY_METHOD.CANCEL]: checkedParams(
-        REQUEST_REF_SCHEMA,
-        ({service, requestId}) => dispatcher.cancel(service, requestId),
-      ),
-      [GATEWAY_METHOD.STARTED]: checkedParams(
-        STARTED_SCHEMA,
-        ({service, report}) => dispatcher.started(service, report),
-      ),
-      [GATEWAY_METHOD.ENDED]: checkedParams(ENDED_SCHEMA, ({service, report}) =>
-        dispatcher.ended(service, report),
-      ),
-      [GATEWAY_METHOD.REPORT]: checkedParams(
-        REPORT_SCHEMA,
-        ({service, entryId, runs}) =>
-          dispatcher.reconcile(service, entryId, runs),
-      ),
-      [GATEWAY_METHOD.USAGE]: checkedParams(
-        USAGE_REPORT_SCHEMA,
-        ({memberId, usage: units}) => usage.answer(memberId, units),
-      ),
-      [GATEWAY_METHOD.DEATH]: checkedParams(
-        DEATH_SCHEMA,
-        ({fingerprint, instanceId}) =>
-          this.context.crashes.recordDeath(fingerprint, instanceId),
-      ),
-    };
-  }
-
   /** Counts a death and tells the others, wherever the caller comes again. */
   private announceDeath(fingerprint: string, instanceId: string): void {
     this.context.crashes.recordDeath(fingerprint, instanceId);
@@ -363,31 +318,18 @@
     }
   }
 
-  private answerReady(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
-  ): void {
-    const {settings, log} = this.options;
-    if (req.url !== settings.readyPath) {
-      res.writeHead(NOT_FOUND).end();
-      return;
-    }
-    const {isReady} = this;
-    if (isReady !== this.wasReady) {
-      this.wasReady = isReady;
-      log.info('readiness_changed', {
-        isReady,
-        isStopping: this.isStopping,
-        hasUpstreams: this.hasUpstreams,
-        configVersion: this.config.current?.version,
-        configAgeMs: Math.round(this.config.ageMs),
-      });
-    }
-    res.writeHead(isReady ? OK : SERVICE_UNAVAILABLE).end();
+  private logReadiness(isReady: boolean): void {
+    this.options.log.info('readiness_changed', {
+      isReady,
+      isStopping: this.isStopping,
+      hasUpstreams: this.hasUpstreams,
+      configVersion: this.config.current?.version,
+      configAgeMs: Math.round(this.config.ageMs),
+    });
   }
 
-  private async answerMetrics(res: http.ServerResponse): Promise<void> {
-    const {gauge, text} = this.metrics;
+  private setGauges(): void {
+    const {gauge} = this.metrics;
     for (const {service, waiting, running} of this.dispatcher.status()) {
       gauge('queue_waiting', service, waiting);
       gauge('queue_running', service, running);
@@ -395,22 +337,5 @@
     gauge('config_version', '', this.config.current?.version ?? 0);
     gauge('members_suspected', '', this.members.suspected.length);
     gauge('usage_hub', '', this.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
-    res.writeHead(OK, {'content-type': 'text/plain; version=0.0.4'});
-    res.end(await text());
   }
 }
-
-/** Splits `host:port`. */
-export function splitAddress(address: string): {host: string; port: number} {
-  const separator = address.lastIndexOf(':');
-  const port = Number(address.slice(separator + 1));
-  return {host: address.slice(0, separator), port};
-}
-
-function listen(server: http.Server, address: string): Promise<void> {
-  const {host, port} = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-}
--- /dev/null
+++ b/packages/gateway/src/peer_handlers.ts
@@ -0,0 +1,64 @@
+import type {PoisonRegistry} from '@fescuespool/coordination';
+import type {PeerHandlers} from '@fescuespool/transport';
+import {checkedParams} from '@fescuespool/transport';
+import {GATEWAY_METHOD} from './constants.js';
+import type {Dispatcher} from './dispatcher.js';
+import {
+  DEATH_SCHEMA,
+  ENDED_SCHEMA,
+  GRANT_SCHEMA,
+  REPORT_SCHEMA,
+  REQUEST_REF_SCHEMA,
+  STARTED_SCHEMA,
+  USAGE_REPORT_SCHEMA,
+} from './messages.js';
+import type {UsageExchange} from './usage_exchange.js';
+
+/** Parts of a gateway that its peers call. */
+export interface GatewayPeerParts {
+  readonly dispatcher: Dispatcher;
+  readonly usage: UsageExchange;
+  readonly crashes: PoisonRegistry;
+  /** Resolves once routes and upstreams are known, or after a bounded wait. */
+  readonly whenConfigured: () => Promise<void>;
+}
+
+/** Makes the handlers of everything that peers may call. */
+export function createGatewayHandlers(parts: GatewayPeerParts): PeerHandlers {
+  const {dispatcher, usage, crashes, whenConfigured} = parts;
+  return {
+    [GATEWAY_METHOD.PING]: () => true,
+    [GATEWAY_METHOD.GRANT]: checkedParams(
+      GRANT_SCHEMA,
+      async ({service, item}) => {
+        await whenConfigured();
+        return dispatcher.request(service, item);
+      },
+    ),
+    [GATEWAY_METHOD.CANCEL]: checkedParams(
+      REQUEST_REF_SCHEMA,
+      ({service, requestId}) => dispatcher.cancel(service, requestId),
+    ),
+    [GATEWAY_METHOD.STARTED]: checkedParams(
+      STARTED_SCHEMA,
+      ({service, report}) => dispatcher.started(service, report),
+    ),
+    [GATEWAY_METHOD.ENDED]: checkedParams(ENDED_SCHEMA, ({service, report}) =>
+      dispatcher.ended(service, report),
+    ),
+    [GATEWAY_METHOD.REPORT]: checkedParams(
+      REPORT_SCHEMA,
+      ({service, entryId, runs}) =>
+        dispatcher.reconcile(service, entryId, runs),
+    ),
+    [GATEWAY_METHOD.USAGE]: checkedParams(
+      USAGE_REPORT_SCHEMA,
+      ({memberId, usage: units}) => usage.answer(memberId, units),
+    ),
+    [GATEWAY_METHOD.DEATH]: checkedParams(
+      DEATH_SCHEMA,
+      ({fingerprint, instanceId}) =>
+        crashes.recordDeath(fingerprint, instanceId),
+    ),
+  };
+}
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -10,6 +10,8 @@
   lastEventId: string | null;
   /** Whether the head of the answer has been sent to the caller. */
   hasHead: boolean;
+  /** Milliseconds from the request to its first event; null before it. */
+  firstEventMs: number | null;
 }
 
 /** How the relay of one upstream's stream ended. */
--- /dev/null
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -0,0 +1,266 @@
+import type {Placement, RunEnd} from '@fescuespool/scheduling';
+import {RUN_END} from '@fescuespool/scheduling';
+import type {HttpExchange} from '@fescuespool/transport';
+import type {IncomingMessage} from 'node:http';
+import {
+  MIN_SILENT_CALL_MS,
+  MIN_SILENT_STREAM_MS,
+  SILENT_EVENT_MS,
+  SILENT_START_FACTOR,
+} from './constants.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {OpenRequest} from './open_request.js';
+import {isRepeatable, isStream, sendHeldAnswer} from './open_request.js';
+import type {RelayResult, StreamPosition} from './stream_relay.js';
+import {relayStream} from './stream_relay.js';
+import type {AnswerHead} from './types.js';
+import type {HeldAnswer, SendResult} from './upstream_send.js';
+import {
+  acceptsConnections,
+  holdAnswer,
+  sendToUpstream,
+} from './upstream_send.js';
+
+/** Statuses that promise that a request has not run and never will. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const FIRST_SERVER_ERROR = 500;
+const FIRST_REDIRECT = 300;
+const OK = 200;
+
+/** What one send came to. */
+export interface SendOutcome {
+  readonly end: RunEnd;
+  /** Whether the caller has its answer, or has gone. */
+  readonly isDone: boolean;
+  /** Whether any byte of the request may have arrived. */
+  readonly hasArrived: boolean;
+  /** Whether the upstream may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** The upstream's own failure, to be passed on where nothing better comes. */
+  readonly failure: HeldAnswer | null;
+  /** Mean milliseconds between two events; null without. */
+  readonly eventGapMs: number | null;
+  readonly cause: string;
+}
+
+const COMPLETED: SendOutcome = {
+  end: RUN_END.COMPLETED,
+  isDone: true,
+  hasArrived: true,
+  mayHaveRun: true,
+  failure: null,
+  eventGapMs: null,
+  cause: '',
+};
+
+/** A send after which the upstream may have run the request. */
+function failedRun(end: RunEnd, cause: string): SendOutcome {
+  return {...COMPLETED, end, isDone: false, cause};
+}
+
+/** A send after which the upstream has not run the request. */
+function notRun(end: RunEnd, cause: string, hasArrived: boolean): SendOutcome {
+  return {...failedRun(end, cause), mayHaveRun: false, hasArrived};
+}
+
+/** One send of a request to the upstream that it was placed on. */
+export class UpstreamAttempt {
+  private sentAtMs = 0;
+  /** Load that the upstream told with its answer. */
+  private load: AnswerHead['load'] = null;
+
+  constructor(
+    private readonly gateway: GatewayContext,
+    private readonly open: OpenRequest,
+    private readonly placement: Placement,
+    private readonly position: StreamPosition,
+    /** Whether another run may follow this one, so that silence may end it. */
+    private readonly mayRepeat: boolean,
+  ) {}
+
+  /** Sends the request, passes the answer on, and reports the end. */
+  async run(): Promise<SendOutcome> {
+    const {clock, dispatch} = this.gateway;
+    this.sentAtMs = clock.monotonicMs();
+    const outcome = await this.take(await this.send());
+    const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
+    const {end, eventGapMs} = outcome;
+    const load = isStream(this.open.admitted.route) ? null : this.load;
+    const {requestId} = this.open.head;
+    dispatch.ended({requestId, end, runMs, eventGapMs, load});
+    if (!outcome.isDone) this.noteFailure(outcome, runMs);
+    return outcome;
+  }
+
+  private send(): Promise<SendResult> {
+    const {req, body, admitted, clock} = this.open;
+    const {upstream, expectedStartMs} = this.placement;
+    const least = isStream(admitted.route)
+      ? MIN_SILENT_STREAM_MS
+      : MIN_SILENT_CALL_MS;
+    const silenceMs = Math.max(least, SILENT_START_FACTOR * expectedStartMs);
+    const {wire, agent} = this.gateway;
+    return sendToUpstream(
+      {
+        upstream,
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        headers: wire.sendHeaders(req.rawHeaders, {
+          instanceId: upstream.instanceId,
+          accountName: admitted.account?.name ?? null,
+          deadlineMs: Math.max(1, Math.floor(clock.remainingMs)),
+          lastEventId: this.position.lastEventId,
+          bodyBytes: body.length,
+          hasBody: body.length > 0 || hasBodyHeaders(req),
+        }),
+        body,
+        // A reset on a used connection does not tell whether a request ran.
+        agent: isRepeatable(admitted.route) ? agent : null,
+        silenceMs: this.mayRepeat ? Math.round(silenceMs) : null,
+        signal: clock.signal,
+      },
+      wire,
+    ).then(result => {
+      if (result.kind === 'answered') this.load = result.head.load;
+      return result;
+    });
+  }
+
+  private async take(sent: SendResult): Promise<SendOutcome> {
+    switch (sent.kind) {
+      case 'unreachable':
+        return notRun(RUN_END.UNREACHABLE, sent.cause, false);
+      case 'broken':
+        return failedRun(RUN_END.FAILED, sent.cause);
+      case 'silent':
+        return failedRun(RUN_END.SILENT, 'no answer in the expected time');
+      case 'aborted':
+        return this.cancelled();
+      case 'answered':
+        return this.takeAnswer(sent.exchange, sent.head);
+    }
+  }
+
+  private cancelled(): SendOutcome {
+    const outcome = failedRun(RUN_END.CANCELLED, 'time over or caller gone');
+    return {...outcome, isDone: this.open.clock.hasCallerLeft};
+  }
+
+  private async takeAnswer(
+    exchange: HttpExchange,
+    head: AnswerHead,
+  ): Promise<SendOutcome> {
+    const {requestId} = this.open.head;
+    const isForeign = head.requestId !== null && head.requestId !== requestId;
+    const status = exchange.res.statusCode ?? 0;
+    if (head.isNotRun && !isForeign) {
+      exchange.res.resume();
+      const {REPLACED, REJECTED} = RUN_END;
+      const end = head.isOtherInstance ? REPLACED : REJECTED;
+      return notRun(end, `not run, status ${status}`, true);
+    }
+    const isSuccess = status >= OK && status < FIRST_REDIRECT;
+    const isOwn = head.requestId === requestId && head.isSealed;
+    if (isForeign || (isSuccess && !isOwn)) {
+      exchange.abort();
+      return failedRun(RUN_END.FAILED, 'not the answer to this request');
+    }
+    return isSuccess && isStream(this.open.admitted.route)
+      ? this.relay(exchange)
+      : this.hold(exchange, status);
+  }
+
+  private async relay(exchange: HttpExchange): Promise<SendOutcome> {
+    const {res} = this.open;
+    const {wire, clock} = this.gateway;
+    const result = await relayStream(exchange, {
+      res,
+      position: this.position,
+      nowMs: clock.monotonicMs,
+      writeHead: () => {
+        const headers = wire.answerHeaders(exchange.res.rawHeaders);
+        res.writeHead(exchange.res.statusCode ?? OK, headers);
+      },
+      onFirstEvent: () => this.tellStart(this.load),
+      silenceMs: this.mayRepeat ? SILENT_EVENT_MS : null,
+    });
+    return this.takeRelayed(exchange, result);
+  }
+
+  private takeRelayed(
+    exchange: HttpExchange,
+    {end, eventGapMs}: RelayResult,
+  ): SendOutcome {
+    if (end === 'complete') {
+      this.open.res.end();
+      return {...COMPLETED, eventGapMs};
+    }
+    exchange.abort();
+    if (end === 'caller_gone' || this.open.clock.signal.aborted) {
+      return this.cancelled();
+    }
+    const isSilent = end === 'silent';
+    return failedRun(
+      isSilent ? RUN_END.SILENT : RUN_END.FAILED,
+      `stream ${end}`,
+    );
+  }
+
+  private async hold(
+    exchange: HttpExchange,
+    status: number,
+  ): Promise<SendOutcome> {
+    this.tellStart(null);
+    const held = await holdAnswer(exchange);
+    if (!held) {
+      if (this.open.clock.signal.aborted) return this.cancelled();
+      return failedRun(RUN_END.FAILED, 'answer broken');
+    }
+    // Passed on, these would promise what the upstream did not say.
+    const isFalsePromise = PROMISE_STATUSES.has(status);
+    if (status < FIRST_SERVER_ERROR && !isFalsePromise) {
+      sendHeldAnswer(this.open, this.gateway.wire, held);
+      return COMPLETED;
+    }
+    const outcome = failedRun(RUN_END.FAILED, `status ${status}`);
+    return {...outcome, failure: isFalsePromise ? null : held};
+  }
+
+  private tellStart(load: AnswerHead['load']): void {
+    const {clock, dispatch, observe} = this.gateway;
+    const startMs = Math.round(clock.monotonicMs() - this.sentAtMs);
+    const {requestId} = this.open.head;
+    dispatch.started({requestId, startMs, load});
+    if (!isStream(this.open.admitted.route)) return;
+    this.position.firstEventMs ??= Math.round(this.open.clock.elapsedMs);
+    observe('first_event_ms', startMs);
+  }
+
+  private noteFailure(outcome: SendOutcome, runMs: number): void {
+    const {upstream} = this.placement;
+    const {end, cause, mayHaveRun} = outcome;
+    const {count, log, announceDeath} = this.gateway;
+    count('send_failed', {end});
+    log.warn('send_failed', {
+      id: this.open.head.requestId,
+      upstream: upstream.instanceId,
+      end,
+      cause,
+      mayHaveRun,
+      afterMs: runMs,
+      remainingMs: Math.round(this.open.clock.remainingMs),
+    });
+    if (end !== RUN_END.FAILED || outcome.failure) return;
+    // A broken connection may be the upstream's death, with this in flight.
+    void acceptsConnections(upstream.address).then(isAlive => {
+      if (!isAlive) announceDeath(this.open.fingerprint, upstream.instanceId);
+    });
+  }
+}
+
+function hasBodyHeaders(req: IncomingMessage): boolean {
+  return (
+    req.headers['content-length'] !== undefined ||
+    req.headers['transfer-encoding'] !== undefined
+  );
+}
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,10 +1,7 @@
 import {LRUCache} from 'lru-cache';
 import {
   CROSS_ZONE_COST_MS,
-  ENTRY_SILENCE_MS,
   FAILURE_COST_MS,
-  INITIAL_RUN_MS,
-  LEARNING_RATE,
   MAX_RETRY_AFTER_MS,
   MAX_RETURNS,
   MAX_WAITING,
@@ -18,8 +15,9 @@
   RUN_END,
   RUN_TIME_WEIGHT,
 } from './constants.js';
+import {EntryWatch} from './entry_watch.js';
 import type {RetryAllowance} from './retry_allowance.js';
-import {StartModel} from './start_model.js';
+import {ServiceSpeed} from './service_speed.js';
 import type {
   EndReport,
   QueueAnswer,
@@ -28,7 +26,6 @@
   UpstreamSpec,
   WorkItem,
 } from './types.js';
-import type {Run} from './upstream_state.js';
 import {UpstreamState} from './upstream_state.js';
 import type {WaitingItem} from './waiting_list.js';
 import {WaitingList} from './waiting_list.js';
@@ -56,19 +53,13 @@
 export class DispatchQueue {
   readonly upstreams = new Map<string, UpstreamState>();
   private readonly waiting = new WaitingList();
-  private readonly starts = new StartModel();
-  private readonly entriesHeardMs = new Map<string, number>();
-  /** Entries that do not answer. */
-  private readonly lostEntries = new Set<string>();
+  private readonly speed = new ServiceSpeed();
+  private readonly entries = new EntryWatch();
   /** Contents of refused requests, whose callers may come back. */
   private readonly returns = new LRUCache<string, true>({
     max: MAX_RETURNS,
     ttl: RETURN_TTL_MS,
   });
-  /** Mean milliseconds of a whole run, over all upstreams. */
-  private meanRunMs = INITIAL_RUN_MS;
-  /** Speed of an ordinary upstream, in the unit of its states. */
-  private ordinaryUnitMs: number | null = null;
 
   constructor(private readonly options: DispatchQueueOptions) {}
 
@@ -92,7 +83,7 @@
   /** Takes a request; the answer is given now or once it is placed. */
   submit(item: WorkItem, answer: (answer: QueueAnswer) => void): void {
     const now = this.options.nowMs();
-    this.heard(item.entryId, now);
+    this.entries.heard(item.entryId, now);
     if (!item.isRetry) this.options.retries.recordRequest();
     else if (!this.options.retries.take(now)) {
       const retryAfterMs = MIN_RETRY_AFTER_MS;
@@ -103,13 +94,17 @@
       });
       return;
     }
+    const leastStartMs = this.speed.leastStartMs(
+      this.upstreams.values(),
+      item.promptTokens,
+    );
     const waiting = {
       item,
       answer,
       arrivedAtMs: now,
       objectiveAtMs: now + item.objectiveLeftMs,
       // What starts later than this is not seen to start by its caller.
-      patienceEndsAtMs: now + item.patienceLeftMs - this.leastStartMs(item),
+      patienceEndsAtMs: now + item.patienceLeftMs - leastStartMs,
       isReturning: this.returns.has(item.fingerprint),
       isLate: false,
     };
@@ -133,8 +128,7 @@
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
-      const pace = this.paceOf(state);
-      this.starts.observe(run.promptTokens, report.startMs / pace);
+      this.speed.observeStart(state, run.promptTokens, report.startMs);
       state.started(report.requestId, report.load, now);
       return;
     }
@@ -147,8 +141,7 @@
       if (!state.runs.has(report.requestId)) continue;
       state.ended(report, now);
       if (report.end === RUN_END.COMPLETED) {
-        this.meanRunMs += LEARNING_RATE * (report.runMs - this.meanRunMs);
-        this.updateOrdinaryUnit();
+        this.speed.observeRun(this.upstreams.values(), report.runMs);
       }
       break;
     }
@@ -165,7 +158,7 @@
     runs: readonly {requestId: string; instanceId: string}[],
   ): void {
     const now = this.options.nowMs();
-    this.heard(entryId, now);
+    this.entries.heard(entryId, now);
     const named = new Set(runs.map(run => run.requestId));
     for (const state of this.upstreams.values()) {
       for (const run of [...state.runs.values()]) {
@@ -202,19 +195,23 @@
    * a run lasts; its end may never be told.
    */
   entryLost(entryId: string): void {
-    this.lostEntries.add(entryId);
+    this.entries.lost(entryId);
   }
 
   /** Refuses those whose patience has ended, drops lost runs, places the rest. */
   tick(): void {
     const now = this.options.nowMs();
-    const rate = this.placesPerMs(now);
+    const rate = this.speed.placesPerMs(this.usable(now));
     for (const waiting of this.waiting.takeHopeless(now, rate)) {
       const isExpired = waiting.patienceEndsAtMs <= now;
       const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
       this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
     }
-    this.dropLostRuns(now);
+    this.entries.dropRuns(
+      this.upstreams.values(),
+      now,
+      (run, state) => now - run.grantedAtMs > this.speed.runMs(state),
+    );
     this.place();
   }
 
@@ -251,34 +248,18 @@
   private expectedWaitMs(waiting: WaitingItem, now: number): number {
     const ahead = this.waiting.countBefore(waiting);
     if (ahead === 0) return 0;
-    const rate = this.placesPerMs(now);
+    const rate = this.speed.placesPerMs(this.usable(now));
     return rate === 0 ? MAX_RETRY_AFTER_MS : ahead / rate;
   }
 
-  /** Places per millisecond that end runs make. */
-  private placesPerMs(now: number): number {
-    let rate = 0;
-    for (const state of this.upstreams.values()) {
-      if (!state.isUsable(now)) continue;
-      rate += state.spec.slots / (this.meanRunMs * this.paceOf(state));
-    }
-    return rate;
-  }
-
-  /** Milliseconds to the first byte on the fastest upstream, when idle. */
-  private leastStartMs(item: WorkItem): number {
-    let pace = Infinity;
-    for (const state of this.upstreams.values()) {
-      pace = Math.min(pace, this.paceOf(state));
-    }
-    if (pace === Infinity) return 0;
-    return pace * this.starts.predictMs(item.promptTokens);
+  private usable(now: number): UpstreamState[] {
+    return [...this.upstreams.values()].filter(state => state.isUsable(now));
   }
 
   private place(): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    const usable = [...this.upstreams.values()].filter(s => s.isUsable(now));
+    const usable = this.usable(now);
     let free = usable.filter(state => state.freeSlots(now) > 0);
     for (const waiting of this.waiting.ordered(PLACEMENT_WINDOW)) {
       if (free.length === 0) return;
@@ -341,13 +322,11 @@
   }
 
   private price(item: WorkItem, state: UpstreamState): Candidate {
-    const pace = this.paceOf(state);
-    const pending = this.starts.prefillMs(state.pendingPromptTokens());
-    const startMs = pace * (pending + this.starts.predictMs(item.promptTokens));
+    const startMs = this.speed.startMs(state, item.promptTokens);
     const zoneMs = state.spec.zone === item.zone ? 0 : CROSS_ZONE_COST_MS;
     const priceMs =
       startMs +
-      RUN_TIME_WEIGHT * pace * this.meanRunMs +
+      RUN_TIME_WEIGHT * this.speed.runMs(state) +
       FAILURE_COST_MS * state.failureShare +
       zoneMs;
     return {state, startMs, priceMs};
@@ -361,7 +340,7 @@
   ): boolean {
     return usable.some(state => {
       const slots = Math.max(1, state.spec.slots);
-      const slotWaitMs = (this.paceOf(state) * this.meanRunMs) / slots;
+      const slotWaitMs = this.speed.runMs(state) / slots;
       return slotWaitMs + this.price(item, state).startMs <= leftMs;
     });
   }
@@ -409,51 +388,4 @@
       hasStarted: true,
     });
   }
-
-  private heard(entryId: string, now: number): void {
-    this.entriesHeardMs.set(entryId, now);
-    this.lostEntries.delete(entryId);
-  }
-
-  private dropLostRuns(now: number): void {
-    for (const [entryId, heardMs] of this.entriesHeardMs) {
-      if (now - heardMs <= ENTRY_SILENCE_MS) continue;
-      this.entriesHeardMs.delete(entryId);
-      this.lostEntries.delete(entryId);
-      this.dropRuns(entryId, () => true);
-    }
-    for (const entryId of this.lostEntries) {
-      this.dropRuns(entryId, (run, state) => {
-        const ageMs = now - run.grantedAtMs;
-        return ageMs > this.meanRunMs * this.paceOf(state);
-      });
-    }
-  }
-
-  private dropRuns(
-    entryId: string,
-    isOver: (run: Run, state: UpstreamState) => boolean,
-  ): void {
-    for (const state of this.upstreams.values()) {
-      for (const run of [...state.runs.values()]) {
-        if (run.entryId !== entryId || !isOver(run, state)) continue;
-        state.runs.delete(run.requestId);
-      }
-    }
-  }
-
-  /** How much slower than an ordinary upstream; 1 while nothing is known. */
-  private paceOf(state: UpstreamState): number {
-    if (state.unitMs === null || this.ordinaryUnitMs === null) return 1;
-    return Math.max(0.05, state.unitMs / this.ordinaryUnitMs);
-  }
-
-  private updateOrdinaryUnit(): void {
-    const units: number[] = [];
-    for (const {unitMs} of this.upstreams.values()) {
-      if (unitMs !== null) units.push(unitMs);
-    }
-    units.sort((a, b) => a - b);
-    this.ordinaryUnitMs = units[Math.floor(units.length / 2)] ?? null;
-  }
 }
