Take what an account asks too much from its least urgent requests

Change: each rank leaves a part of an account's burst to those above it, where requests count tokens; callers that come back stand before the late ones, behind those in time; a new bucket holds half of the burst.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -71,7 +71,7 @@
       admitted = this.admit(req, head);
       const fingerprint = fingerprintOf(req.url ?? '', admitted.account, body);
       this.refuseSuspect(fingerprint);
-      this.charge(admitted);
+      this.charge(admitted, head.tokens !== null);
       isCharged = true;
       const {timeoutMs} = admitted.route;
       clock.setLimit(Math.min(timeoutMs, head.deadlineMs ?? timeoutMs));
@@ -126,13 +126,18 @@
     throw new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
   }
 
-  private charge({account, quotaUnits}: Admitted): void {
+  private charge(
+    {account, quotaUnits, route}: Admitted,
+    hasTokens: boolean,
+  ): void {
     if (!account?.quota) return;
     const waitMs = this.gateway.quotas.charge(
       account.name,
       account.quota,
       quotaUnits,
       this.gateway.clock.monotonicMs(),
+      // Requests without a token count take next to nothing of a quota.
+      hasTokens ? route.priority : 0,
     );
     if (waitMs === 0) return;
     throw new GatewayRefusalError(GATEWAY_REFUSAL.QUOTA_EXCEEDED, waitMs);
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -123,8 +123,14 @@
 /** Time in milliseconds without a report after which an entry's runs are dropped. */
 export const ENTRY_SILENCE_MS = 2_500;
 
+/** Part of a burst that each rank leaves to those above it. */
+export const QUOTA_RESERVE_PER_RANK = 0.2;
+
+/** Ranks below which the reserve grows no more: less than a new bucket holds. */
+export const MAX_RESERVED_RANKS = 2;
+
 /** Part of a burst that a bucket starts with, since its past use is unknown. */
-export const INITIAL_BURST_SHARE = 0.25;
+export const INITIAL_BURST_SHARE = 0.5;
 
 /** Part of a quota's tolerance that one member's bucket may use. */
-export const QUOTA_TOLERANCE_SHARE = 0.7;
+export const QUOTA_TOLERANCE_SHARE = 0.5;
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -111,16 +111,17 @@
       expect(bed.order).toEqual(['running', 'timely']);
     });
 
-    it('prefers a caller that comes back to a new one of its tier', () => {
+    it('prefers a caller that comes back to others that are late', () => {
       const bed = new Bed([upstream('u')]);
       bed.submit(work('running'));
       bed.submit(work('first', {fingerprint: 'f', patienceLeftMs: 500}));
       bed.advance(450);
       expect(bed.answers.get('first')?.kind).toBe('refused');
-      bed.submit(work('new'));
+      bed.submit(work('timely'));
+      bed.submit(work('late', {objectiveLeftMs: 0}));
       bed.submit(work('again', {fingerprint: 'f'}));
-      bed.end('running');
-      expect(bed.order).toEqual(['running', 'again']);
+      for (const id of ['running', 'timely', 'again']) bed.end(id);
+      expect(bed.order).toEqual(['running', 'timely', 'again', 'late']);
     });
   });
 
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -98,6 +98,7 @@
       this.upstreams.values(),
       item.promptTokens,
     );
+    const isReturning = this.returns.has(item.fingerprint);
     const waiting = {
       item,
       answer,
@@ -105,8 +106,9 @@
       objectiveAtMs: now + item.objectiveLeftMs,
       // What starts later than this is not seen to start by its caller.
       patienceEndsAtMs: now + item.patienceLeftMs - leastStartMs,
-      isReturning: this.returns.has(item.fingerprint),
-      isLate: false,
+      isReturning,
+      // The objective counts from a caller's first try.
+      isLate: isReturning,
     };
     const refusal = this.admit(waiting, now);
     if (refusal) {
--- a/packages/scheduling/src/token_quota.test.ts
+++ b/packages/scheduling/src/token_quota.test.ts
@@ -75,6 +75,20 @@
     expect(ledger.charge('a', LIMIT, 900, waitMs)).toBe(0);
   });
 
+  it('refuses the lower ranks of an account first', () => {
+    const ledger = new QuotaLedger(TOLERANCE);
+    ledger.open('a', LIMIT, 0);
+    const used = [0, 0, 0];
+    for (let now = 0; now < WINDOW_MS; now += 10) {
+      for (const rank of [2, 1, 0]) {
+        if (ledger.charge('a', LIMIT, 10, now, rank) === 0) used[rank]! += 10;
+      }
+    }
+    // The first rank alone asks for as much as the quota holds.
+    expect(used[0]).toBeGreaterThan(0.95 * LIMIT.perSecond * 8);
+    expect(used[1]! + used[2]!).toBeLessThan(LIMIT.burst * 2);
+  });
+
   it('gives back what did not run, and reports it so', () => {
     const ledger = new QuotaLedger();
     ledger.open('a', LIMIT, 0);
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,5 +1,10 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
-import {INITIAL_BURST_SHARE, QUOTA_TOLERANCE_SHARE} from './constants.js';
+import {
+  INITIAL_BURST_SHARE,
+  MAX_RESERVED_RANKS,
+  QUOTA_RESERVE_PER_RANK,
+  QUOTA_TOLERANCE_SHARE,
+} from './constants.js';
 
 /** What an account may use. */
 export interface QuotaLimit {
@@ -50,17 +55,22 @@
 
   /**
    * Charges units to an account. Answers 0 where they are within its quota, and
-   * else the milliseconds until they would be; nothing is charged then.
+   * else the milliseconds until they would be; nothing is charged then. Each rank
+   * leaves a part of the burst to those above it, so that an account which asks
+   * for too much loses its least urgent requests.
    */
   charge(
     account: string,
     limit: QuotaLimit,
     units: number,
     nowMs: number,
+    rank = 0,
   ): number {
     const bucket = this.bucketOf(account, limit, nowMs);
+    const ranks = Math.min(rank, MAX_RESERVED_RANKS);
+    const reserve = QUOTA_RESERVE_PER_RANK * ranks * limit.burst * this.share;
     // A request larger than the burst passes when the bucket is full.
-    const needed = Math.min(units, this.capacityOf(limit));
+    const needed = Math.min(units + reserve, this.capacityOf(limit));
     if (bucket.level < needed) {
       const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
       return Math.max(1, Math.ceil((needed - bucket.level) / perMs));
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -14,13 +14,13 @@
 }
 
 /**
- * Order of two waiting requests: by tier, then callers that were refused before,
- * then those that can meet their objective, and by what ends first.
+ * Order of two waiting requests: by tier, then those that can meet their
+ * objective, then callers that were refused before, and by what ends first.
  */
 function compare(a: WaitingItem, b: WaitingItem): number {
   if (a.item.tier !== b.item.tier) return a.item.tier - b.item.tier;
-  if (a.isReturning !== b.isReturning) return a.isReturning ? -1 : 1;
   if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+  if (a.isReturning !== b.isReturning) return a.isReturning ? -1 : 1;
   if (a.isLate) return a.patienceEndsAtMs - b.patienceEndsAtMs;
   return a.objectiveAtMs - b.objectiveAtMs;
 }
