Start quotas with their burst, so that a restart of all members refuses less

Ruled out: keeping the usage in the store (a write each two seconds; not needed for the bound). Change: a full burst at the start, three tenths of the tolerance in use.

--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -129,8 +129,11 @@
 /** Ranks below which the reserve grows no more: less than a new bucket holds. */
 export const MAX_RESERVED_RANKS = 2;
 
-/** Part of a burst that a bucket starts with, since its past use is unknown. */
-export const INITIAL_BURST_SHARE = 0.5;
+/**
+ * Part of a burst that a bucket starts with. Its past use is unknown, and after a
+ * restart of all members what was asked meanwhile comes at once.
+ */
+export const INITIAL_BURST_SHARE = 1;
 
 /** Part of a quota's tolerance that one member's bucket may use. */
-export const QUOTA_TOLERANCE_SHARE = 0.5;
+export const QUOTA_TOLERANCE_SHARE = 0.3;
