Give upstreams a pause that break each connection, and try them with what may repeat

Ruled out: a pause after the first reset (single resets come with lost answers too). Change: two broken connections in a row without a sign of life give a pause that doubles; after it, requests that must not be repeated wait until another one got through, or 2 s. Conclusion: a test plays such an upstream: under 12 of 400 requests lost.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -21,6 +21,7 @@
     promptTokens: COUNT,
     objectiveLeftMs: MILLISECONDS,
     patienceLeftMs: MILLISECONDS,
+    isRepeatable: z.boolean(),
     isRetry: z.boolean(),
     excluded: z.array(ID).max(64),
   }),
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -171,6 +171,7 @@
       promptTokens: head.tokens?.prompt ?? 0,
       objectiveLeftMs: Math.round(objectiveLeftMs),
       patienceLeftMs: Math.round(patienceLeftMs),
+      isRepeatable: isRepeatable(route),
       isRetry: this.arrivals > 0,
       excluded: this.excluded,
     };
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -131,7 +131,7 @@
       case 'unreachable':
         return notRun(RUN_END.UNREACHABLE, sent.cause, false);
       case 'broken':
-        return failedRun(RUN_END.FAILED, sent.cause);
+        return failedRun(RUN_END.BROKEN, sent.cause);
       case 'silent':
         return failedRun(RUN_END.SILENT, 'no answer in the expected time');
       case 'aborted':
@@ -250,7 +250,8 @@
       afterMs: runMs,
       remainingMs: Math.round(this.open.clock.remainingMs),
     });
-    if (end !== RUN_END.FAILED || outcome.failure) return;
+    const isBroken = end === RUN_END.BROKEN || end === RUN_END.FAILED;
+    if (!isBroken || outcome.failure) return;
     // A broken connection may be the upstream's death, with this in flight.
     void acceptsConnections(upstream.address).then(isAlive => {
       if (!isAlive) announceDeath(this.open.fingerprint, upstream.instanceId);
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -10,6 +10,8 @@
   REPLACED: 'replaced',
   /** The upstream answered with a failure of its own, or with broken bytes. */
   FAILED: 'failed',
+  /** The connection broke before an answer came. */
+  BROKEN: 'broken',
   /** No connection could be established. */
   UNREACHABLE: 'unreachable',
   /** No sign of life within the expected time. */
@@ -57,6 +59,15 @@
 /** Longest such pause in milliseconds; restarts take a few seconds. */
 export const MAX_BENCH_MS = 2_000;
 
+/** Broken connections in a row after which an upstream gets a pause. */
+export const BROKEN_BEFORE_BENCH = 2;
+
+/**
+ * Time in milliseconds after a pause for which an upstream is tried with
+ * requests only that may be repeated.
+ */
+export const SAFE_TRIAL_MS = 2_000;
+
 /** Pause in milliseconds after an upstream's address had been taken over. */
 export const REPLACED_BENCH_MS = 5_000;
 
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -34,6 +34,7 @@
     promptTokens: 0,
     objectiveLeftMs: 1_000,
     patienceLeftMs: 4_000,
+    isRepeatable: true,
     isRetry: false,
     excluded: [],
     ...changes,
@@ -235,6 +236,35 @@
       expect(bed.queue.upstreams.get(first)!.isUsable(bed.nowMs)).toBe(true);
     });
 
+    it('loses few requests to one that breaks each connection', () => {
+      const bed = new Bed([upstream('hole', 5), upstream('sound', 5)]);
+      let lost = 0;
+      for (let i = 0; i < 400; i++) {
+        const id = `r${i}`;
+        bed.submit(work(id, {isRepeatable: i % 2 === 0}));
+        const placed = bed.placementOf(id)!.upstream.instanceId;
+        if (placed === 'hole') lost++;
+        bed.end(id, placed === 'hole' ? RUN_END.BROKEN : RUN_END.COMPLETED);
+        bed.advance(20);
+      }
+      expect(lost).toBeLessThan(12);
+    });
+
+    it('tries one that failed with requests that may be repeated', () => {
+      const bed = new Bed([upstream('u'), upstream('v')]);
+      bed.submit(work('a'));
+      const failed = bed.placementOf('a')!.upstream.instanceId;
+      bed.end('a', RUN_END.UNREACHABLE);
+      bed.submit(work('busy'));
+      bed.advance(300);
+      bed.submit(work('once', {isRepeatable: false}));
+      expect(bed.answers.has('once')).toBe(false);
+      bed.submit(work('again'));
+      expect(bed.placementOf('again')!.upstream.instanceId).toBe(failed);
+      bed.end('again');
+      expect(bed.placementOf('once')!.upstream.instanceId).toBe(failed);
+    });
+
     it('passes over one that stalls before any answer came', () => {
       const bed = new Bed([upstream('u', 5)]);
       bed.submit(work('a'));
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -293,10 +293,15 @@
     now: number,
   ): Candidate | null {
     const {item} = waiting;
-    const others = free.filter(
+    const isAnyTrusted = usable.some(state => state.isTrusted(now));
+    const trusted =
+      item.isRepeatable || !isAnyTrusted
+        ? free
+        : free.filter(state => state.isTrusted(now));
+    const others = trusted.filter(
       state => !item.excluded.includes(state.spec.instanceId),
     );
-    const allowed = others.length > 0 ? others : free;
+    const allowed = others.length > 0 ? others : trusted;
     // A retry at the same upstream is only for services that have no other.
     const hasOthers = usable.some(
       state => !item.excluded.includes(state.spec.instanceId),
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -22,6 +22,8 @@
   readonly objectiveLeftMs: number;
   /** Time in milliseconds until the caller no longer waits for a start. */
   readonly patienceLeftMs: number;
+  /** Whether it may run more than once. */
+  readonly isRepeatable: boolean;
   /** Whether an earlier send of the same request may have arrived. */
   readonly isRetry: boolean;
   /** Instances that failed this request before. */
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -1,4 +1,5 @@
 import {
+  BROKEN_BEFORE_BENCH,
   FAILURE_LEARNING_RATE,
   FIRST_BENCH_MS,
   FOREIGN_LOAD_TTL_MS,
@@ -9,6 +10,7 @@
   REJECTED_FULL_MS,
   REPLACED_BENCH_MS,
   RUN_END,
+  SAFE_TRIAL_MS,
   STALL_FACTOR,
 } from './constants.js';
 import type {EndReport, ReportedLoad, RunEnd, UpstreamSpec} from './types.js';
@@ -38,6 +40,7 @@
   /** Share of failed runs, the newest counting most. */
   failureShare = 0;
   private failuresInRow = 0;
+  private brokenInRow = 0;
   private benchedUntilMs = -Infinity;
   private lastSignMs = -Infinity;
   private foreignRuns = 0;
@@ -51,6 +54,15 @@
     return !this.isStalled(nowMs);
   }
 
+  /**
+   * Whether a request may go there that must not be repeated: one that failed is
+   * first tried with others, as it may break each connection that it accepts.
+   */
+  isTrusted(nowMs: number): boolean {
+    const isOnTrial = this.failuresInRow > 0;
+    return !isOnTrial || nowMs > this.benchedUntilMs + SAFE_TRIAL_MS;
+  }
+
   /** Slots that are free, as far as is known. */
   freeSlots(nowMs: number): number {
     const foreign = nowMs < this.foreignUntilMs ? this.foreignRuns : 0;
@@ -90,6 +102,7 @@
   private sawSign(nowMs: number): void {
     this.lastSignMs = nowMs;
     this.failuresInRow = 0;
+    this.brokenInRow = 0;
   }
 
   private judge(end: RunEnd, nowMs: number): void {
@@ -104,6 +117,11 @@
         this.learnFailure(1);
         this.bench(nowMs);
         return;
+      case RUN_END.BROKEN:
+        this.learnFailure(1);
+        this.brokenInRow++;
+        if (this.brokenInRow >= BROKEN_BEFORE_BENCH) this.bench(nowMs);
+        return;
       case RUN_END.UNREACHABLE:
         this.bench(nowMs);
         return;
