--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,6 +7,7 @@
   ConfigPatchCommand,
   ConfigValidateCommand,
 } from './config_commands.js';
+import {ExplainCommand} from './explain_command.js';
 import {
   CellsCommand,
   DrainCommand,
@@ -33,6 +34,7 @@
   StatsCommand,
   TraceCommand,
   DrainCommand,
+  ExplainCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ]) {
