Watch the store through one gateway for all

Ruled out: longer waits (a configuration is confirmed by each answer, and keys pass only on a young one); stale reads (they do not confirm). Large values through the relay (a 90 KB configuration to 33 gateways is 1.4 s of a 17 Mbit/s link): they are read in the store. Change: rendezvous hashing names the gateway that watches; the others hold one question each at it, and watch for themselves for 2 s when it is silent, lost or behind.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
+import {GatewayPeers} from './gateway_peers.js';
 import {MemberDirectory} from './member_directory.js';
 import {createGatewayHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
@@ -68,6 +69,7 @@
 export class Gateway {
   readonly config: ConfigState;
   readonly members: MemberDirectory;
+  readonly peers: GatewayPeers;
   private readonly metrics: GatewayMetrics = createGatewayMetrics();
   private readonly network: PeerNetwork;
   private readonly monitor: PeerMonitor;
@@ -98,6 +100,7 @@
       isLeaving: false,
     });
     const {members, network} = this;
+    this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
     this.dispatcher = new Dispatcher(clock, log, settings.retryBudget, key =>
       this.isOwnerOf(key),
@@ -157,14 +160,13 @@
   /** Starts to listen. */
   async start(): Promise<void> {
     const {settings, log} = this.options;
-    await this.network.listen(
-      createGatewayHandlers({
-        dispatcher: this.dispatcher,
-        usage: this.usage,
-        crashes: this.context.crashes,
-        whenConfigured: () => this.whenConfigured(),
-      }),
-    );
+    const handlers = createGatewayHandlers({
+      dispatcher: this.dispatcher,
+      usage: this.usage,
+      crashes: this.context.crashes,
+      whenConfigured: () => this.whenConfigured(),
+    });
+    await this.network.listen({...this.peers.handlers, ...handlers});
     await listenOn(this.callerServer, settings.callerAddress);
     await listenOn(this.readyServer, settings.readyAddress);
     const {metricsPort} = settings;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './event_splitter.js';
 export * from './gateway.js';
 export * from './gateway_metrics.js';
+export * from './gateway_peers.js';
 export * from './member_directory.js';
 export * from './route_table.js';
 export * from './settings.js';
