--- /dev/null
+++ b/examples/dispatch_queue.mjs
@@ -0,0 +1,36 @@
+// One queue of a service: two upstreams with a slot each, four requests.
+import {DispatchQueue, RetryAllowance} from '@fescuespool/scheduling';
+
+const queue = new DispatchQueue({
+  nowMs: () => performance.now(),
+  retries: new RetryAllowance({ratio: 0.2, extra: 10, windowMs: 10_000}),
+});
+queue.setUpstreams(
+  ['fast', 'slow'].map(instanceId => ({
+    instanceId,
+    address: '127.0.0.1:80',
+    zone: 'a',
+    slots: 1,
+    isLeaving: false,
+    startedAtUnixMs: null,
+  })),
+);
+for (const [requestId, tier] of Object.entries({a: 1, b: 1, low: 2, high: 0})) {
+  const item = {
+    requestId,
+    entryId: 'entry-1',
+    zone: 'a',
+    tier,
+    fingerprint: requestId,
+    promptTokens: 0,
+    objectiveLeftMs: 500,
+    patienceLeftMs: 2_000,
+    isRepeatable: true,
+    isRetry: false,
+    excluded: [],
+  };
+  queue.submit(item, answer => console.log(requestId, answer.kind));
+}
+const end = {end: 'completed', runMs: 100, eventGapMs: null, load: null};
+queue.ended({requestId: 'a', ...end}); // places `high` before `low`
+queue.ended({requestId: 'b', ...end});
