Tell a partition from deaths of upstreams, and retry outside the zone that broke

Ruled out: counting deaths by the list alone (it lags by seconds; three retries are allowed). Change: a retry pays 400 ms for a zone where one of its connections broke; a death counts only where one of three neighbours in the zone accepts connections.

--- a/examples/dispatch_queue.mjs
+++ b/examples/dispatch_queue.mjs
@@ -28,6 +28,7 @@
     isRepeatable: true,
     isRetry: false,
     excluded: [],
+    avoidedZones: [],
   };
   queue.submit(item, answer => console.log(requestId, answer.kind));
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -106,6 +106,9 @@
 /** Time in milliseconds for a connection to an upstream. */
 export const UPSTREAM_CONNECT_TIMEOUT_MS = 250;
 
+/** Upstreams of a zone that are tried to tell a death from a partition. */
+export const MAX_NEIGHBOUR_PROBES = 3;
+
 /** Time in milliseconds for the connection that tells whether it lives. */
 export const LIVENESS_PROBE_TIMEOUT_MS = 300;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,10 +1,8 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
 import {POISON_DEATHS, PoisonRegistry} from '@fescuespool/coordination';
-import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {QuotaLedger} from '@fescuespool/scheduling';
 import {PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
-import {LRUCache} from 'lru-cache';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
@@ -16,7 +14,6 @@
   FRESHNESS_MARGIN_MS,
   GATEWAY_METHOD,
   LINGER_MS,
-  MAX_GONE,
   MAX_HEAD_BYTES,
   STOP_MARGIN_MS,
   UPSTREAM_IDLE_MS,
@@ -36,6 +33,7 @@
 import type {GatewaySettings} from './settings.js';
 import {createMetricsServer, createReadyServer} from './status_servers.js';
 import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
+import {UpstreamRegistry} from './upstream_registry.js';
 import {UsageExchange} from './usage_exchange.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -80,11 +78,7 @@
   private readonly callerServer: http.Server;
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
-  private hasUpstreams = false;
-  /** Upstreams by instance id, as this member knows them. */
-  private readonly present = new Map<string, UpstreamSpec>();
-  /** Upstreams that were known here and are no longer listed. */
-  private readonly gone = new LRUCache<string, true>({max: MAX_GONE});
+  private readonly upstreams = new UpstreamRegistry();
   private readonly configuredWaits = new Set<() => void>();
   private isStopping = false;
 
@@ -131,7 +125,7 @@
         log.warn('crash_suspected', {fingerprint, deaths});
       }),
       agent: new UpstreamAgent(UPSTREAM_IDLE_MS, UPSTREAM_MAX_IDLE),
-      isLeaving: upstream => this.isLeaving(upstream),
+      upstreams: this.upstreams,
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
       count: this.metrics.count,
@@ -194,15 +188,7 @@
 
   /** Replaces the upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
-    this.hasUpstreams = upstreams.size > 0;
-    const before = new Set(this.present.keys());
-    this.present.clear();
-    for (const specs of upstreams.values()) {
-      for (const spec of specs) this.present.set(spec.instanceId, spec);
-    }
-    for (const id of before) {
-      if (!this.present.has(id)) this.gone.set(id, true);
-    }
+    this.upstreams.replace(upstreams);
     this.dispatcher.setUpstreams(upstreams);
     this.tellConfigured();
   }
@@ -234,7 +220,7 @@
     return (
       !this.isStopping &&
       this.config.current !== null &&
-      this.hasUpstreams &&
+      !this.upstreams.isEmpty &&
       this.config.ageMs < maxAgeMs
     );
   }
@@ -281,7 +267,7 @@
   }
 
   private get isConfigured(): boolean {
-    return this.config.current !== null && this.hasUpstreams;
+    return this.config.current !== null && !this.upstreams.isEmpty;
   }
 
   private async whenConfigured(): Promise<void> {
@@ -301,12 +287,6 @@
     this.configuredWaits.clear();
   }
 
-  private isLeaving(upstream: UpstreamSpec): boolean {
-    const {instanceId} = upstream;
-    // One that was never seen here may be new.
-    return this.present.get(instanceId)?.isLeaving ?? this.gone.has(instanceId);
-  }
-
   private isOwnerOf(key: string): boolean {
     return this.members.ownerOf(key).id === this.members.me.id;
   }
@@ -324,7 +304,7 @@
     this.options.log.info('readiness_changed', {
       isReady,
       isStopping: this.isStopping,
-      hasUpstreams: this.hasUpstreams,
+      hasUpstreams: !this.upstreams.isEmpty,
       configVersion: this.config.current?.version,
       configAgeMs: Math.round(this.config.ageMs),
     });
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {PoisonRegistry} from '@fescuespool/coordination';
-import type {QuotaLedger, UpstreamSpec} from '@fescuespool/scheduling';
+import type {QuotaLedger} from '@fescuespool/scheduling';
 import type {Agent} from 'node:http';
 import type {ConfigState} from './config_state.js';
 import type {DispatchClient} from './dispatch_client.js';
@@ -8,6 +8,7 @@
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
 import type {WireFormat} from './types.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 /** What every request of a gateway shares. */
 export interface GatewayContext {
@@ -23,8 +24,7 @@
   readonly crashes: PoisonRegistry;
   /** Connections to upstreams that may be used again. */
   readonly agent: Agent;
-  /** Whether this member knows that an upstream leaves or is gone. */
-  readonly isLeaving: (upstream: UpstreamSpec) => boolean;
+  readonly upstreams: UpstreamRegistry;
   readonly random: () => number;
   /** Resolves once routes and upstreams are known, or after a bounded wait. */
   readonly whenConfigured: () => Promise<void>;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -24,6 +24,7 @@
     isRepeatable: z.boolean(),
     isRetry: z.boolean(),
     excluded: z.array(ID).max(64),
+    avoidedZones: z.array(ID).max(64),
   }),
 });
 
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -27,6 +27,7 @@
   private queuedMs = 0;
   private failure: HeldAnswer | null = null;
   private readonly excluded: string[] = [];
+  private readonly avoidedZones: string[] = [];
   private readonly position: StreamPosition;
   private readonly service: string;
 
@@ -64,7 +65,7 @@
         if (this.passFailureOn()) return;
         throw placed;
       }
-      if (this.gateway.isLeaving(placed.upstream)) {
+      if (this.gateway.upstreams.isLeaving(placed.upstream)) {
         this.handBack(placed);
         continue;
       }
@@ -91,10 +92,17 @@
     if (outcome.hasArrived) this.arrivals++;
     if (outcome.mayHaveRun) this.runs++;
     if (outcome.failure) this.failure = outcome.failure;
-    if (!outcome.isDone) this.excluded.push(placement.upstream.instanceId);
+    if (!outcome.isDone) this.avoid(placement, outcome);
     return outcome;
   }
 
+  private avoid({upstream}: Placement, outcome: SendOutcome): void {
+    this.excluded.push(upstream.instanceId);
+    const isOtherZone = upstream.zone !== this.gateway.members.me.zone;
+    const hasConnection = outcome.failure !== null || !outcome.isLinkFailure;
+    if (isOtherZone && !hasConnection) this.avoidedZones.push(upstream.zone);
+  }
+
   private mayTryAgain(outcome: SendOutcome): boolean {
     const {clock, admitted} = this.open;
     if (clock.isOver || this.sends > MAX_REJECTED_SENDS) return false;
@@ -174,6 +182,7 @@
       isRepeatable: isRepeatable(route),
       isRetry: this.arrivals > 0,
       excluded: this.excluded,
+      avoidedZones: this.avoidedZones,
     };
   }
 
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -3,6 +3,7 @@
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
 import {
+  MAX_NEIGHBOUR_PROBES,
   MIN_SILENT_CALL_MS,
   MIN_SILENT_STREAM_MS,
   SILENT_EVENT_MS,
@@ -36,6 +37,8 @@
   readonly hasArrived: boolean;
   /** Whether the upstream may have run the request. */
   readonly mayHaveRun: boolean;
+  /** Whether the connection failed, or none could be made. */
+  readonly isLinkFailure: boolean;
   /** The upstream's own failure, to be passed on where nothing better comes. */
   readonly failure: HeldAnswer | null;
   /** Mean milliseconds between two events; null without. */
@@ -48,6 +51,7 @@
   isDone: true,
   hasArrived: true,
   mayHaveRun: true,
+  isLinkFailure: false,
   failure: null,
   eventGapMs: null,
   cause: '',
@@ -129,9 +133,12 @@
   private async take(sent: SendResult): Promise<SendOutcome> {
     switch (sent.kind) {
       case 'unreachable':
-        return notRun(RUN_END.UNREACHABLE, sent.cause, false);
+        return {
+          ...notRun(RUN_END.UNREACHABLE, sent.cause, false),
+          isLinkFailure: true,
+        };
       case 'broken':
-        return failedRun(RUN_END.BROKEN, sent.cause);
+        return {...failedRun(RUN_END.BROKEN, sent.cause), isLinkFailure: true};
       case 'silent':
         return failedRun(RUN_END.SILENT, 'no answer in the expected time');
       case 'aborted':
@@ -199,11 +206,8 @@
     if (end === 'caller_gone' || this.open.clock.signal.aborted) {
       return this.cancelled();
     }
-    const isSilent = end === 'silent';
-    return failedRun(
-      isSilent ? RUN_END.SILENT : RUN_END.FAILED,
-      `stream ${end}`,
-    );
+    if (end === 'silent') return failedRun(RUN_END.SILENT, 'stream silent');
+    return {...failedRun(RUN_END.FAILED, 'stream broken'), isLinkFailure: true};
   }
 
   private async hold(
@@ -214,7 +218,10 @@
     const held = await holdAnswer(exchange);
     if (!held) {
       if (this.open.clock.signal.aborted) return this.cancelled();
-      return failedRun(RUN_END.FAILED, 'answer broken');
+      return {
+        ...failedRun(RUN_END.FAILED, 'answer broken'),
+        isLinkFailure: true,
+      };
     }
     // Passed on, these would promise what the upstream did not say.
     const isFalsePromise = PROMISE_STATUSES.has(status);
@@ -236,6 +243,23 @@
     observe('first_event_ms', startMs);
   }
 
+  /**
+   * Whether the upstream has died. In a partition the others of its zone can't be
+   * reached either, which says nothing about the request.
+   */
+  private async isDead(): Promise<boolean> {
+    const {upstream} = this.placement;
+    if (await acceptsConnections(upstream.address)) return false;
+    const neighbours = this.gateway.upstreams.neighboursOf(
+      upstream,
+      MAX_NEIGHBOUR_PROBES,
+    );
+    const answers = await Promise.all(
+      neighbours.map(({address}) => acceptsConnections(address)),
+    );
+    return answers.length === 0 || answers.includes(true);
+  }
+
   private noteFailure(outcome: SendOutcome, runMs: number): void {
     const {upstream} = this.placement;
     const {end, cause, mayHaveRun} = outcome;
@@ -250,11 +274,10 @@
       afterMs: runMs,
       remainingMs: Math.round(this.open.clock.remainingMs),
     });
-    const isBroken = end === RUN_END.BROKEN || end === RUN_END.FAILED;
-    if (!isBroken || outcome.failure) return;
     // A broken connection may be the upstream's death, with this in flight.
-    void acceptsConnections(upstream.address).then(isAlive => {
-      if (!isAlive) announceDeath(this.open.fingerprint, upstream.instanceId);
+    if (!outcome.isLinkFailure || !mayHaveRun) return;
+    void this.isDead().then(isDead => {
+      if (isDead) announceDeath(this.open.fingerprint, upstream.instanceId);
     });
   }
 }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -50,6 +50,12 @@
 /** Price in milliseconds of leaving the entry's availability zone. */
 export const CROSS_ZONE_COST_MS = 3;
 
+/**
+ * Price in milliseconds of a zone where a connection of the request broke: a
+ * partition breaks all of them, and a retry there is lost as well.
+ */
+export const AVOIDED_ZONE_COST_MS = 400;
+
 /** Weight of the run time behind the start in the price of an upstream. */
 export const RUN_TIME_WEIGHT = 0.2;
 
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -37,6 +37,7 @@
     isRepeatable: true,
     isRetry: false,
     excluded: [],
+    avoidedZones: [],
     ...changes,
   };
 }
@@ -288,6 +289,18 @@
       expect(bed.placementOf('a')!.upstream.instanceId).not.toBe(first);
     });
 
+    it('avoids the zone where a connection broke, if another has room', () => {
+      const bed = new Bed([
+        {...upstream('far-1', 5), zone: 'b'},
+        {...upstream('far-2', 5), zone: 'b'},
+        upstream('near', 1),
+      ]);
+      bed.submit(work('a', {avoidedZones: ['b'], excluded: ['far-1']}));
+      bed.submit(work('b', {avoidedZones: ['b'], excluded: ['far-1']}));
+      expect(bed.placementOf('a')!.upstream.instanceId).toBe('near');
+      expect(bed.placementOf('b')!.upstream.instanceId).toBe('far-2');
+    });
+
     it('prefers upstreams that failed less, without giving up the rest', () => {
       const bed = new Bed([upstream('u', 9), upstream('v', 9)]);
       for (let i = 0; i < 8; i++) {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,5 +1,6 @@
 import {LRUCache} from 'lru-cache';
 import {
+  AVOIDED_ZONE_COST_MS,
   CROSS_ZONE_COST_MS,
   FAILURE_COST_MS,
   MAX_RETRY_AFTER_MS,
@@ -170,7 +171,7 @@
       }
     }
     for (const {requestId, instanceId} of runs) {
-      this.adopt(entryId, requestId, instanceId, now);
+      this.upstreams.get(instanceId)?.adopt(requestId, entryId, now);
     }
     this.place();
   }
@@ -330,7 +331,10 @@
 
   private price(item: WorkItem, state: UpstreamState): Candidate {
     const startMs = this.speed.startMs(state, item.promptTokens);
-    const zoneMs = state.spec.zone === item.zone ? 0 : CROSS_ZONE_COST_MS;
+    const {zone} = state.spec;
+    const crossingMs = zone === item.zone ? 0 : CROSS_ZONE_COST_MS;
+    const isAvoided = item.avoidedZones.includes(zone);
+    const zoneMs = isAvoided ? AVOIDED_ZONE_COST_MS : crossingMs;
     const priceMs =
       startMs +
       RUN_TIME_WEIGHT * this.speed.runMs(state) +
@@ -377,22 +381,4 @@
       },
     });
   }
-
-  private adopt(
-    entryId: string,
-    requestId: string,
-    instanceId: string,
-    now: number,
-  ): void {
-    const state = this.upstreams.get(instanceId);
-    if (!state || state.runs.has(requestId)) return;
-    state.runs.set(requestId, {
-      requestId,
-      entryId,
-      promptTokens: 0,
-      grantedAtMs: now,
-      expectedStartMs: 0,
-      hasStarted: true,
-    });
-  }
 }
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -28,6 +28,8 @@
   readonly isRetry: boolean;
   /** Instances that failed this request before. */
   readonly excluded: readonly string[];
+  /** Other zones where a connection of this request broke. */
+  readonly avoidedZones: readonly string[];
 }
 
 /** An upstream as the registry names it. */
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -71,6 +71,19 @@
     return limit - this.runs.size - foreign;
   }
 
+  /** Counts a run that an earlier dispatcher granted. */
+  adopt(requestId: string, entryId: string, nowMs: number): void {
+    if (this.runs.has(requestId)) return;
+    this.runs.set(requestId, {
+      requestId,
+      entryId,
+      promptTokens: 0,
+      grantedAtMs: nowMs,
+      expectedStartMs: 0,
+      hasStarted: true,
+    });
+  }
+
   /** Records a sign of life: the first byte of an answer. */
   started(requestId: string, load: ReportedLoad | null, nowMs: number): void {
     const run = this.runs.get(requestId);
