--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -125,7 +125,8 @@
     if (answer.kind === 'aborted') return this.timeoutRefusal();
     if (answer.kind === 'refused') {
       if (this.runs > 0) return this.refusalAfterRun();
-      const retryAfterMs = Math.min(answer.retryAfterMs, clock.remainingMs);
+      const leftMs = Math.ceil(clock.remainingMs);
+      const retryAfterMs = Math.min(answer.retryAfterMs, leftMs);
       return new GatewayRefusalError(refusalOf(answer.reason), retryAfterMs);
     }
     const {upstream, waitedMs, freeSlots, expectedStartMs} = answer.placement;
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -39,6 +39,19 @@
   RETRY_AFTER: 'retry-after',
 } as const;
 
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+export const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
 /** Media type of refusals (RFC 9457). */
 export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
 
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -60,13 +60,13 @@
 export const RUN_TIME_WEIGHT = 0.2;
 
 /** First pause in milliseconds after an upstream could not be reached. */
-export const FIRST_BENCH_MS = 250;
+export const FIRST_PAUSE_MS = 250;
 
 /** Longest such pause in milliseconds; restarts take a few seconds. */
-export const MAX_BENCH_MS = 2_000;
+export const MAX_PAUSE_MS = 2_000;
 
 /** Broken connections in a row after which an upstream gets a pause. */
-export const BROKEN_BEFORE_BENCH = 2;
+export const BROKEN_BEFORE_PAUSE = 2;
 
 /**
  * Time in milliseconds after a pause for which an upstream is tried with
@@ -75,7 +75,7 @@
 export const SAFE_TRIAL_MS = 2_000;
 
 /** Pause in milliseconds after an upstream's address had been taken over. */
-export const REPLACED_BENCH_MS = 5_000;
+export const REPLACED_PAUSE_MS = 5_000;
 
 /** Time in milliseconds for which work of other dispatchers is believed. */
 export const FOREIGN_LOAD_TTL_MS = 500;
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -241,7 +241,7 @@
     const waitMs = this.expectedWaitMs(waiting, this.options.nowMs());
     const retryAfterMs = Math.min(
       MAX_RETRY_AFTER_MS,
-      Math.max(MIN_OVERLOAD_RETRY_MS, RETRY_WAIT_FACTOR * waitMs),
+      Math.max(MIN_OVERLOAD_RETRY_MS, Math.ceil(RETRY_WAIT_FACTOR * waitMs)),
     );
     this.returns.set(waiting.item.fingerprint, true);
     waiting.answer({kind: 'refused', reason, retryAfterMs});
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -1,14 +1,14 @@
 import {
-  BROKEN_BEFORE_BENCH,
+  BROKEN_BEFORE_PAUSE,
   FAILURE_LEARNING_RATE,
-  FIRST_BENCH_MS,
+  FIRST_PAUSE_MS,
   FOREIGN_LOAD_TTL_MS,
   LEARNING_RATE,
   LOAD_TOLERANCE,
-  MAX_BENCH_MS,
+  MAX_PAUSE_MS,
   MIN_STALL_MS,
   REJECTED_FULL_MS,
-  REPLACED_BENCH_MS,
+  REPLACED_PAUSE_MS,
   RUN_END,
   SAFE_TRIAL_MS,
   STALL_FACTOR,
@@ -41,7 +41,7 @@
   failureShare = 0;
   private failuresInRow = 0;
   private brokenInRow = 0;
-  private benchedUntilMs = -Infinity;
+  private pausedUntilMs = -Infinity;
   private lastSignMs = -Infinity;
   private foreignRuns = 0;
   private foreignUntilMs = -Infinity;
@@ -50,7 +50,7 @@
 
   /** Whether new work may go there. */
   isUsable(nowMs: number): boolean {
-    if (this.spec.isLeaving || nowMs < this.benchedUntilMs) return false;
+    if (this.spec.isLeaving || nowMs < this.pausedUntilMs) return false;
     return !this.isStalled(nowMs);
   }
 
@@ -60,7 +60,7 @@
    */
   isTrusted(nowMs: number): boolean {
     const isOnTrial = this.failuresInRow > 0;
-    return !isOnTrial || nowMs > this.benchedUntilMs + SAFE_TRIAL_MS;
+    return !isOnTrial || nowMs > this.pausedUntilMs + SAFE_TRIAL_MS;
   }
 
   /** Slots that are free, as far as is known. */
@@ -128,19 +128,19 @@
         return;
       case RUN_END.SILENT:
         this.learnFailure(1);
-        this.bench(nowMs);
+        this.pause(nowMs);
         return;
       case RUN_END.BROKEN:
         this.learnFailure(1);
         this.brokenInRow++;
-        if (this.brokenInRow >= BROKEN_BEFORE_BENCH) this.bench(nowMs);
+        if (this.brokenInRow >= BROKEN_BEFORE_PAUSE) this.pause(nowMs);
         return;
       case RUN_END.UNREACHABLE:
-        this.bench(nowMs);
+        this.pause(nowMs);
         return;
       case RUN_END.LEAVING:
       case RUN_END.REPLACED:
-        this.benchedUntilMs = nowMs + REPLACED_BENCH_MS;
+        this.pausedUntilMs = nowMs + REPLACED_PAUSE_MS;
         return;
       case RUN_END.REJECTED:
         this.foreignRuns = Math.max(0, this.spec.slots - this.runs.size);
@@ -155,12 +155,12 @@
     this.failureShare += FAILURE_LEARNING_RATE * (sample - this.failureShare);
   }
 
-  private bench(nowMs: number): void {
+  private pause(nowMs: number): void {
     // Runs that fail together are one failure.
-    if (nowMs < this.benchedUntilMs) return;
-    const pause = FIRST_BENCH_MS * 2 ** this.failuresInRow;
+    if (nowMs < this.pausedUntilMs) return;
+    const lengthMs = FIRST_PAUSE_MS * 2 ** this.failuresInRow;
     this.failuresInRow++;
-    this.benchedUntilMs = nowMs + Math.min(MAX_BENCH_MS, pause);
+    this.pausedUntilMs = nowMs + Math.min(MAX_PAUSE_MS, lengthMs);
   }
 
   /** Whether something waits for its start far longer than expected. */
