--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -160,9 +160,6 @@
 /** Margin in milliseconds by which a configuration counts as old early. */
 export const FRESHNESS_MARGIN_MS = 300;
 
-/** Jump in milliseconds between the clocks that tells a suspension. */
-export const SUSPENSION_GAP_MS = 150;
-
 /** Time in milliseconds after the signal in which new requests still come. */
 export const LINGER_MS = 2_600;
 
