--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -3,6 +3,7 @@
 import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
 import net from 'node:net';
+import {splitAddress} from './address.js';
 import {
   LIVENESS_PROBE_TIMEOUT_MS,
   MAX_HELD_ANSWER_BYTES,
@@ -103,9 +104,7 @@
 
 /** Tells whether an upstream accepts connections. */
 export function acceptsConnections(address: string): Promise<boolean> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
+  const {host, port} = splitAddress(address);
   return new Promise(resolve => {
     const socket = net.connect({host, port});
     const end = (isAlive: boolean): void => {
