Tell requests, waits, first events and gaps by class and state in the metrics

Ruled out: route names as labels, since a configuration may hold hundreds of routes. The kind of the route, its priority and whether the upstream was on trial take few values. Before: first_event_ms and answer_ms over everything.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -11,6 +11,7 @@
 } from './constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
+import {routeLabels} from './gateway_metrics.js';
 import {RequestClock} from './request_clock.js';
 import {RequestRun} from './request_run.js';
 import type {RequestHead} from './types.js';
@@ -200,7 +201,8 @@
     refusal: GatewayRefusalError | null,
     clock: RequestClock,
   ): void {
-    const {log, config} = this.gateway;
+    const {log, config, metrics} = this.gateway;
+    const route = routeLabels(admitted?.route ?? null);
     const elapsedMs = Math.round(clock.elapsedMs);
     const fields = {
       id: head?.requestId,
@@ -217,15 +219,12 @@
     };
     if (refusal) {
       log.warn('request_refused', fields);
-      this.gateway.count('refused', {reason: refusal.reason});
+      metrics.requestEnded(route, 'refused', refusal.reason, elapsedMs);
       return;
     }
     log.info('request_ended', fields);
-    const outcome = clock.hasCallerLeft
-      ? 'caller_left'
-      : String(res.statusCode);
-    this.gateway.count('ended', {outcome});
-    this.gateway.observe('answer_ms', elapsedMs);
+    const outcome = clock.hasCallerLeft ? 'caller_left' : 'answered';
+    metrics.requestEnded(route, outcome, String(res.statusCode), elapsedMs);
   }
 
   private ended(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -128,8 +128,7 @@
       upstreams: this.upstreams,
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
-      count: this.metrics.count,
-      observe: this.metrics.observe,
+      metrics: this.metrics,
       announceDeath: (fingerprint, instanceId) =>
         this.announceDeath(fingerprint, instanceId),
     };
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -30,6 +30,5 @@
   readonly whenConfigured: () => Promise<void>;
   /** Counts the death of an upstream here and at the other members. */
   readonly announceDeath: (fingerprint: string, instanceId: string) => void;
-  readonly count: GatewayMetrics['count'];
-  readonly observe: GatewayMetrics['observe'];
+  readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,4 +1,6 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {ROUTE_KIND} from './constants.js';
+import type {Route} from './types.js';
 
 const PREFIX = 'fescuespool_';
 
@@ -7,26 +9,78 @@
   5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800,
 ];
 
-/** Counters and histograms of a gateway; labels take few values each. */
+const ROUTE_LABELS = ['class', 'priority'] as const;
+
+/** Labels that tell requests apart; each takes few values. */
+export interface RouteLabels {
+  /** Kind of the route; `none` where no route was found. */
+  readonly class: string;
+  readonly priority: string;
+}
+
+/** Counters and histograms of a gateway; durations are in milliseconds. */
 export interface GatewayMetrics {
-  /** Counts an event by its labels. */
-  readonly count: (event: string, labels?: Record<string, string>) => void;
-  /** Records a duration in milliseconds. */
-  readonly observe: (name: string, ms: number) => void;
+  /** Records how a request ended; `reason` is the status or the refusal's. */
+  readonly requestEnded: (
+    route: RouteLabels,
+    outcome: 'answered' | 'refused' | 'caller_left',
+    reason: string,
+    answerMs: number,
+  ) => void;
+  /** Records how long a request waited for an upstream. */
+  readonly queueWaited: (
+    route: RouteLabels,
+    outcome: 'placed' | 'refused' | 'aborted',
+    waitMs: number,
+  ) => void;
+  /** Records how one send ended at an upstream. */
+  readonly sendEnded: (
+    route: RouteLabels,
+    upstreamState: string,
+    end: string,
+  ) => void;
+  /** Records the time from a send to the first event of its stream. */
+  readonly firstEvent: (
+    route: RouteLabels,
+    upstreamState: string,
+    startMs: number,
+  ) => void;
+  /** Records the mean time between two events of a stream. */
+  readonly eventGap: (
+    route: RouteLabels,
+    upstreamState: string,
+    gapMs: number,
+  ) => void;
   /** Sets a gauge by its label. */
   readonly gauge: (name: string, label: string, value: number) => void;
   /** All figures as text. */
   readonly text: () => Promise<string>;
 }
 
+/** Labels of a request; null where it was refused before a route was found. */
+export function routeLabels(route: Route | null): RouteLabels {
+  if (!route) return {class: 'none', priority: ''};
+  const isResumable = route.kind === ROUTE_KIND.STREAM && route.isResumable;
+  return {
+    class: isResumable ? 'resumable_stream' : route.kind,
+    priority: String(route.priority),
+  };
+}
+
 /** Makes the metrics of a process, each name known once. */
 export function createGatewayMetrics(): GatewayMetrics {
-  const registers = [new Registry()];
-  const registry = registers[0]!;
-  const events = new Counter({
-    name: `${PREFIX}events_total`,
-    help: 'Decisions by event and reason',
-    labelNames: ['event', 'reason'],
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: `${PREFIX}requests_total`,
+    help: 'Requests by their end',
+    labelNames: [...ROUTE_LABELS, 'outcome', 'reason'],
+    registers,
+  });
+  const sends = new Counter({
+    name: `${PREFIX}sends_total`,
+    help: 'Sends to upstreams by their end',
+    labelNames: [...ROUTE_LABELS, 'upstream_state', 'end'],
     registers,
   });
   const gauges = new Gauge({
@@ -35,23 +89,47 @@
     labelNames: ['name', 'label'],
     registers,
   });
-  const histograms = new Map<string, Histogram>();
+  const histogram = <Label extends string>(
+    name: string,
+    help: string,
+    label: Label,
+  ): Histogram<(typeof ROUTE_LABELS)[number] | Label> =>
+    new Histogram({
+      name: PREFIX + name,
+      help,
+      labelNames: [...ROUTE_LABELS, label],
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    });
+  const answers = histogram(
+    'answer_ms',
+    'From the request to the end of its answer',
+    'outcome',
+  );
+  const waits = histogram('queue_wait_ms', 'Wait for an upstream', 'outcome');
+  const starts = histogram(
+    'first_event_ms',
+    'From a send to the first event of its stream',
+    'upstream_state',
+  );
+  const gaps = histogram(
+    'event_gap_ms',
+    'Mean time between two events of a stream',
+    'upstream_state',
+  );
   return {
-    count: (event, labels = {}) =>
-      events.inc({event, reason: Object.values(labels).join(',')}),
-    observe: (name, ms) => {
-      let histogram = histograms.get(name);
-      if (!histogram) {
-        histogram = new Histogram({
-          name: PREFIX + name,
-          help: `Milliseconds: ${name.replaceAll('_', ' ')}`,
-          buckets: LATENCY_BUCKETS_MS,
-          registers,
-        });
-        histograms.set(name, histogram);
-      }
-      histogram.observe(ms);
+    requestEnded: (route, outcome, reason, answerMs) => {
+      requests.inc({...route, outcome, reason});
+      answers.observe({...route, outcome}, answerMs);
     },
+    queueWaited: (route, outcome, waitMs) =>
+      waits.observe({...route, outcome}, waitMs),
+    sendEnded: (route, upstreamState, end) =>
+      sends.inc({...route, upstream_state: upstreamState, end}),
+    firstEvent: (route, upstreamState, startMs) =>
+      starts.observe({...route, upstream_state: upstreamState}, startMs),
+    eventGap: (route, upstreamState, gapMs) =>
+      gaps.observe({...route, upstream_state: upstreamState}, gapMs),
     gauge: (name, label, value) => gauges.set({name, label}, value),
     text: () => registry.metrics(),
   };
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -44,6 +44,7 @@
       expectedStartMs: MILLISECONDS,
       waitedMs: MILLISECONDS,
       freeSlots: z.number(),
+      isOnTrial: z.boolean(),
     }),
   }),
   z.object({
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -8,6 +8,7 @@
 import {GATEWAY_REFUSAL, MAX_REJECTED_SENDS} from './constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
+import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, patienceOf, sendHeldAnswer} from './open_request.js';
 import {pickTarget} from './route_table.js';
@@ -121,7 +122,13 @@
       this.workItem(),
       clock.signal,
     );
-    this.queuedMs += this.gateway.clock.monotonicMs() - startMs;
+    const waitMs = this.gateway.clock.monotonicMs() - startMs;
+    this.queuedMs += waitMs;
+    this.gateway.metrics.queueWaited(
+      routeLabels(this.open.admitted.route),
+      answer.kind,
+      waitMs,
+    );
     if (answer.kind === 'aborted') return this.timeoutRefusal();
     if (answer.kind === 'refused') {
       if (this.runs > 0) return this.refusalAfterRun();
@@ -129,13 +136,15 @@
       const retryAfterMs = Math.min(answer.retryAfterMs, leftMs);
       return new GatewayRefusalError(refusalOf(answer.reason), retryAfterMs);
     }
-    const {upstream, waitedMs, freeSlots, expectedStartMs} = answer.placement;
+    const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} =
+      answer.placement;
     this.gateway.log.info('placed', {
       id: head.requestId,
       service: this.service,
       upstream: upstream.instanceId,
       waitedMs: Math.round(waitedMs),
       freeSlots,
+      isOnTrial,
       expectedStartMs: Math.round(expectedStartMs),
       send: this.sends + 1,
     });
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -10,6 +10,8 @@
   SILENT_START_FACTOR,
 } from './constants.js';
 import type {GatewayContext} from './gateway_context.js';
+import type {RouteLabels} from './gateway_metrics.js';
+import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendHeldAnswer} from './open_request.js';
 import type {RelayResult, StreamPosition} from './stream_relay.js';
@@ -70,6 +72,9 @@
 /** One send of a request to the upstream that it was placed on. */
 export class UpstreamAttempt {
   private sentAtMs = 0;
+  private readonly route: RouteLabels;
+  /** Label of the upstream's state when it was granted. */
+  private readonly upstreamState: string;
   /** Load that the upstream told with its answer. */
   private load: AnswerHead['load'] = null;
 
@@ -80,11 +85,14 @@
     private readonly position: StreamPosition,
     /** Whether another run may follow this one, so that silence may end it. */
     private readonly mayRepeat: boolean,
-  ) {}
+  ) {
+    this.route = routeLabels(open.admitted.route);
+    this.upstreamState = placement.isOnTrial ? 'on_trial' : 'sound';
+  }
 
   /** Sends the request, passes the answer on, and reports the end. */
   async run(): Promise<SendOutcome> {
-    const {clock, dispatch} = this.gateway;
+    const {clock, dispatch, metrics} = this.gateway;
     this.sentAtMs = clock.monotonicMs();
     const outcome = await this.take(await this.send());
     const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
@@ -92,6 +100,10 @@
     const load = isStream(this.open.admitted.route) ? null : this.load;
     const {requestId} = this.open.head;
     dispatch.ended({requestId, end, runMs, eventGapMs, load});
+    metrics.sendEnded(this.route, this.upstreamState, end);
+    if (eventGapMs !== null) {
+      metrics.eventGap(this.route, this.upstreamState, eventGapMs);
+    }
     if (!outcome.isDone) this.noteFailure(outcome, runMs);
     return outcome;
   }
@@ -234,13 +246,13 @@
   }
 
   private tellStart(load: AnswerHead['load']): void {
-    const {clock, dispatch, observe} = this.gateway;
+    const {clock, dispatch, metrics} = this.gateway;
     const startMs = Math.round(clock.monotonicMs() - this.sentAtMs);
     const {requestId} = this.open.head;
     dispatch.started({requestId, startMs, load});
     if (!isStream(this.open.admitted.route)) return;
     this.position.firstEventMs ??= Math.round(this.open.clock.elapsedMs);
-    observe('first_event_ms', startMs);
+    metrics.firstEvent(this.route, this.upstreamState, startMs);
   }
 
   /**
@@ -263,8 +275,7 @@
   private noteFailure(outcome: SendOutcome, runMs: number): void {
     const {upstream} = this.placement;
     const {end, cause, mayHaveRun} = outcome;
-    const {count, log, announceDeath} = this.gateway;
-    count('send_failed', {end});
+    const {log, announceDeath} = this.gateway;
     log.warn('send_failed', {
       id: this.open.head.requestId,
       upstream: upstream.instanceId,
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -378,6 +378,7 @@
         expectedStartMs: startMs,
         waitedMs: now - waiting.arrivedAtMs,
         freeSlots,
+        isOnTrial: state.isOnTrial,
       },
     });
   }
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -60,6 +60,8 @@
   /** Inputs of the decision, for the log. */
   readonly waitedMs: number;
   readonly freeSlots: number;
+  /** Whether its last run failed, so that it gets one run at a time. */
+  readonly isOnTrial: boolean;
 }
 
 /** Answer of the queue to a request. */
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -59,15 +59,19 @@
    * first tried with others, as it may break each connection that it accepts.
    */
   isTrusted(nowMs: number): boolean {
-    const isOnTrial = this.failuresInRow > 0;
-    return !isOnTrial || nowMs > this.pausedUntilMs + SAFE_TRIAL_MS;
+    return !this.isOnTrial || nowMs > this.pausedUntilMs + SAFE_TRIAL_MS;
+  }
+
+  /** Whether its last sign was a failure, so that one run tries it. */
+  get isOnTrial(): boolean {
+    return this.failuresInRow > 0;
   }
 
   /** Slots that are free, as far as is known. */
   freeSlots(nowMs: number): number {
     const foreign = nowMs < this.foreignUntilMs ? this.foreignRuns : 0;
     // One run at a time shows whether an upstream that failed is back.
-    const limit = this.failuresInRow > 0 ? 1 : this.spec.slots;
+    const limit = this.isOnTrial ? 1 : this.spec.slots;
     return limit - this.runs.size - foreign;
   }
 
