--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -79,7 +79,7 @@
     const run = this.running.get(report.requestId);
     if (!run) return;
     const {service, granter} = run;
-    if (this.isSelf(granter)) this.dispatcher.started(service, report);
+    if (this.members.isMe(granter)) this.dispatcher.started(service, report);
     else {
       const params = {service, report};
       this.network.notify(granter, GATEWAY_METHOD.STARTED, params);
@@ -103,10 +103,6 @@
     clearInterval(this.timer);
   }
 
-  private isSelf(member: GatewayMember): boolean {
-    return member.id === this.members.me.id;
-  }
-
   private async ask(
     service: string,
     item: WorkItem,
@@ -125,7 +121,7 @@
     });
     const wait = (lost: Promise<void>): Promise<QueueAnswer> =>
       untilGivenUp(asked, lost, signal);
-    const answer = this.isSelf(owner)
+    const answer = this.members.isMe(owner)
       ? await wait(NEVER)
       : await this.monitor.during(owner, wait);
     if (answer !== MOVED) return answer;
@@ -140,7 +136,7 @@
     service: string,
     item: WorkItem,
   ): Promise<QueueAnswer> {
-    if (this.isSelf(owner)) return this.dispatcher.request(service, item);
+    if (this.members.isMe(owner)) return this.dispatcher.request(service, item);
     const answer = await callPeer(
       this.network,
       owner,
@@ -159,7 +155,7 @@
     service: string,
     requestId: string,
   ): void {
-    if (this.isSelf(owner)) this.dispatcher.cancel(service, requestId);
+    if (this.members.isMe(owner)) this.dispatcher.cancel(service, requestId);
     else {
       const params = {service, requestId};
       this.network.notify(owner, GATEWAY_METHOD.CANCEL, params);
@@ -186,7 +182,7 @@
     service: string,
     report: EndReport,
   ): void {
-    if (this.isSelf(owner)) this.dispatcher.ended(service, report);
+    if (this.members.isMe(owner)) this.dispatcher.ended(service, report);
     else {
       const params = {service, report};
       this.network.notify(owner, GATEWAY_METHOD.ENDED, params);
@@ -219,7 +215,8 @@
     runs: {requestId: string; instanceId: string}[],
   ): void {
     const entryId = this.members.me.id;
-    if (this.isSelf(owner)) this.dispatcher.reconcile(service, entryId, runs);
+    if (this.members.isMe(owner))
+      this.dispatcher.reconcile(service, entryId, runs);
     else {
       const params = {service, entryId, runs};
       this.network.notify(owner, GATEWAY_METHOD.REPORT, params);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,7 +97,7 @@
     this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
     this.dispatcher = new Dispatcher(clock, log, settings.retryBudget, key =>
-      this.isOwnerOf(key),
+      members.holds(key),
     );
     const dispatch = new DispatchClient(
       clock,
@@ -288,10 +288,6 @@
     this.configuredWaits.clear();
   }
 
-  private isOwnerOf(key: string): boolean {
-    return this.members.ownerOf(key).id === this.members.me.id;
-  }
-
   /** Counts a death and tells the others, wherever the caller comes again. */
   private announceDeath(fingerprint: string, instanceId: string): void {
     this.context.crashes.recordDeath(fingerprint, instanceId);
@@ -319,6 +315,6 @@
     }
     gauge('config_version', '', this.config.current?.version ?? 0);
     gauge('members_suspected', '', this.members.suspected.length);
-    gauge('usage_hub', '', this.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
+    gauge('usage_hub', '', this.members.holds(USAGE_HUB_KEY) ? 1 : 0);
   }
 }
--- a/packages/gateway/src/gateway_peers.ts
+++ b/packages/gateway/src/gateway_peers.ts
@@ -32,7 +32,7 @@
 
   /** Whether a member is this one. */
   isSelf(member: GatewayMember): boolean {
-    return member.id === this.members.me.id;
+    return this.members.isMe(member);
   }
 
   /** Calls a method of a member; a timeout in milliseconds ends the wait. */
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -94,6 +94,16 @@
     return this.self;
   }
 
+  /** Whether a member is this one. */
+  isMe(member: GatewayMember): boolean {
+    return member.id === this.self.id;
+  }
+
+  /** Whether this member holds a key. */
+  holds(key: string): boolean {
+    return this.isMe(this.ownerOf(key));
+  }
+
   private rank(key: string): string[] {
     const known = this.ranks.get(key);
     if (known) return known;
