Doubt upstreams that come and go, and give quotas whole after a restart

An older run that still completed there cleared the failures, so that the pause stayed at 250 ms and single runs came back at once. Two reasons: new buckets held 4/27 of a burst while ranks leave up to two fifths of a burst to those above them; and a new hub, which had heard one member, told it to keep 1/27 of each quota. Now buckets begin whole; in fleets above four members each may use 4/N of a burst beyond the refill between two exchanges; and a hub says nothing about silent members in its first 1.2 s. Ruled out: larger new buckets alone (27 members pressing at once then break the quota, test 'keeps the sum of a large fleet').

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -195,8 +195,7 @@
   /** Replaces the list of the other gateways. */
   setMembers(members: readonly GatewayMember[]): void {
     this.members.setMembers(members);
-    const count = this.members.all.length;
-    this.context.quotas.setMembers(count, this.options.clock.monotonicMs());
+    this.context.quotas.setMembers(this.members.all.length);
   }
 
   /** Uses other settings; what is bound to a socket stays until a restart. */
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -89,7 +89,7 @@
 /** Schema of the hub's answer. */
 export const USAGE_ANSWER_SCHEMA = z.object({
   others: USAGE_SCHEMA,
-  heard: COUNT,
+  heard: COUNT.nullable(),
 });
 
 /** Schema of a member's usage. */
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -82,6 +82,7 @@
   private apply({others, heard}: UsageAnswer): void {
     this.answeredAtMs = this.clock.monotonicMs();
     this.quotas.applyOthers(others);
+    if (heard === null) return;
     this.quotas.setShare(Math.min(1, heard / this.members.all.length));
   }
 
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -69,8 +69,8 @@
 export const BROKEN_BEFORE_PAUSE = 2;
 
 /**
- * Time in milliseconds after a pause for which an upstream is tried with
- * requests only that may be repeated.
+ * Time in milliseconds after a broken connection and its pause for which an
+ * upstream is tried with requests only that may be repeated.
  */
 export const SAFE_TRIAL_MS = 2_000;
 
@@ -146,17 +146,8 @@
 /** Ranks below which the reserve grows no more: less than a new bucket holds. */
 export const MAX_RESERVED_RANKS = 2;
 
-/**
- * Part of a burst that a bucket starts with. Its past use is unknown, and after a
- * restart of all members what was asked meanwhile comes at once.
- */
-export const INITIAL_BURST_SHARE = 1;
-
-/** Bursts that the new buckets of a whole fleet hold together, at most. */
-export const MAX_INITIAL_BURSTS = 4;
-
-/** Age in milliseconds up to which a bucket is new: its members become known. */
-export const NEW_BUCKET_MS = 1_500;
+/** Bursts that a whole fleet may use between two exchanges, at most. */
+export const MAX_UNCONFIRMED_BURSTS = 4;
 
 /** Part of a quota's tolerance that one member's bucket may use. */
 export const QUOTA_TOLERANCE_SHARE = 0.3;
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,9 +1,7 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
 import {
-  INITIAL_BURST_SHARE,
-  MAX_INITIAL_BURSTS,
   MAX_RESERVED_RANKS,
-  NEW_BUCKET_MS,
+  MAX_UNCONFIRMED_BURSTS,
   QUOTA_RESERVE_PER_RANK,
   QUOTA_TOLERANCE_SHARE,
 } from './constants.js';
@@ -28,8 +26,9 @@
 const STRICT: QuotaTolerance = {windowMs: 0, ratio: 0, extra: 0};
 
 interface Bucket {
-  readonly openedAtMs: number;
   level: number;
+  /** Units beyond the refill that were used since the last exchange. */
+  unconfirmed: number;
   filledAtMs: number;
   limit: QuotaLimit;
 }
@@ -75,23 +74,24 @@
     const reserve = QUOTA_RESERVE_PER_RANK * ranks * limit.burst * this.share;
     // A request larger than the burst passes when the bucket is full.
     const needed = Math.min(units + reserve, this.capacityOf(limit));
+    const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
     if (bucket.level < needed) {
-      const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
       return Math.max(1, Math.ceil((needed - bucket.level) / perMs));
     }
+    const excess = bucket.unconfirmed + units - this.unconfirmedLimit(limit);
+    const missing = this.capacityOf(limit) - bucket.level;
+    if (excess > 0 && missing > 0) {
+      return Math.max(1, Math.ceil(Math.min(excess, missing) / perMs));
+    }
     bucket.level -= units;
+    bucket.unconfirmed += units;
     this.addUnreported(account, units);
     return 0;
   }
 
-  /** Tells how many members there are; new buckets hold less in a large fleet. */
-  setMembers(count: number, nowMs: number): void {
+  /** Tells how many members there are. */
+  setMembers(count: number): void {
     this.members = Math.max(1, count);
-    for (const bucket of this.buckets.values()) {
-      if (nowMs - bucket.openedAtMs > NEW_BUCKET_MS) continue;
-      const most = this.initialLevel(bucket.limit);
-      bucket.level = Math.min(bucket.level, most);
-    }
   }
 
   /** Starts the bucket of an account, so that it fills before it is used. */
@@ -121,8 +121,9 @@
     }
   }
 
-  /** Takes out what other members used. */
+  /** Takes out what other members used; ends an exchange. */
   applyOthers(usage: Readonly<Record<string, number>>): void {
+    for (const bucket of this.buckets.values()) bucket.unconfirmed = 0;
     for (const [account, units] of Object.entries(usage)) {
       const bucket = this.buckets.get(account);
       if (bucket) bucket.level -= units;
@@ -137,8 +138,10 @@
   private bucketOf(account: string, limit: QuotaLimit, nowMs: number): Bucket {
     const known = this.buckets.get(account);
     if (!known) {
-      const level = this.initialLevel(limit);
-      const bucket = {openedAtMs: nowMs, level, filledAtMs: nowMs, limit};
+      // Past use is unknown, and after a restart of all members what was asked
+      // meanwhile comes at once.
+      const level = limit.burst * this.share;
+      const bucket = {level, unconfirmed: 0, filledAtMs: nowMs, limit};
       this.buckets.set(account, bucket);
       return bucket;
     }
@@ -147,12 +150,17 @@
     known.filledAtMs = nowMs;
     known.limit = limit;
     known.level = Math.min(this.capacityOf(limit), known.level + filled);
+    known.unconfirmed = Math.max(0, known.unconfirmed - filled);
     return known;
   }
 
-  private initialLevel({burst}: QuotaLimit): number {
-    const part = Math.min(1, MAX_INITIAL_BURSTS / this.members);
-    return INITIAL_BURST_SHARE * part * burst * this.share;
+  /**
+   * What one member may use of a burst before it has heard from the others. All
+   * members of a large fleet could use the same burst at the same moment.
+   */
+  private unconfirmedLimit({burst}: QuotaLimit): number {
+    if (this.members <= MAX_UNCONFIRMED_BURSTS) return Infinity;
+    return (MAX_UNCONFIRMED_BURSTS / this.members) * burst;
   }
 
   /**
@@ -181,14 +189,17 @@
 export interface UsageAnswer {
   /** What the others used since the last answer, by account. */
   readonly others: Record<string, number>;
-  /** Members whose use is known, the asking one included. */
-  readonly heard: number;
+  /** Members whose use is known; null while the hub is too new to tell. */
+  readonly heard: number | null;
 }
 
 /** Adds up what the members used, and tells each what the others did. */
 export class UsageHub {
   private readonly totals = new Map<string, number>();
   private readonly members = new Map<string, MemberUsage>();
+  /** Start of the time in which members ask this hub without a long pause. */
+  private activeFromMs = -Infinity;
+  private askedAtMs = -Infinity;
 
   /** Members count as heard for a time in milliseconds. */
   constructor(private readonly heardForMs: number) {}
@@ -199,6 +210,8 @@
     usage: Readonly<Record<string, number>>,
     nowMs: number,
   ): UsageAnswer {
+    if (nowMs - this.askedAtMs > this.heardForMs) this.activeFromMs = nowMs;
+    this.askedAtMs = nowMs;
     const ledger = this.ledgerOf(memberId);
     ledger.heardAtMs = nowMs;
     for (const [account, units] of Object.entries(usage)) {
@@ -213,11 +226,17 @@
       others[account] = news;
       ledger.told.set(account, byOthers);
     }
+    return {others, heard: this.countHeard(nowMs)};
+  }
+
+  private countHeard(nowMs: number): number | null {
+    // Those that have not asked yet are not lost.
+    if (nowMs - this.activeFromMs < this.heardForMs) return null;
     let heard = 0;
     for (const {heardAtMs} of this.members.values()) {
       if (nowMs - heardAtMs <= this.heardForMs) heard++;
     }
-    return {others, heard};
+    return heard;
   }
 
   private ledgerOf(memberId: string): MemberUsage {
--- /dev/null
+++ b/packages/scheduling/src/upstream_state.test.ts
@@ -0,0 +1,101 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {RUN_END, SAFE_TRIAL_MS} from './constants.js';
+import type {RunEnd} from './types.js';
+import {UpstreamState} from './upstream_state.js';
+
+const SLOTS = 5;
+
+describe('UpstreamState', () => {
+  let state: UpstreamState;
+  let nowMs: number;
+
+  beforeEach(() => {
+    nowMs = 1_000;
+    state = new UpstreamState({
+      instanceId: 'u',
+      address: '10.0.0.1:80',
+      zone: 'a',
+      slots: SLOTS,
+      isLeaving: false,
+      startedAtUnixMs: 1,
+    });
+  });
+
+  const grant = (requestId: string): void => {
+    state.runs.set(requestId, {
+      requestId,
+      entryId: 'entry-1',
+      promptTokens: 0,
+      grantedAtMs: nowMs,
+      expectedStartMs: 50,
+      hasStarted: false,
+    });
+  };
+  const end = (requestId: string, how: RunEnd): void =>
+    state.ended(
+      {requestId, end: how, runMs: 5, eventGapMs: null, load: null},
+      nowMs,
+    );
+  const run = (requestId: string, how: RunEnd): void => {
+    grant(requestId);
+    nowMs += 5;
+    end(requestId, how);
+  };
+
+  describe('that resets new connections while older runs go on', () => {
+    beforeEach(() => {
+      grant('older');
+      nowMs += 50;
+      state.started('older', null, nowMs);
+      run('a', RUN_END.BROKEN);
+      run('b', RUN_END.BROKEN);
+    });
+
+    it('stays on trial when an older run completes', () => {
+      nowMs += 20;
+      end('older', RUN_END.COMPLETED);
+      expect(state.isUsable(nowMs)).toBe(false);
+      expect(state.isOnTrial).toBe(true);
+      expect(state.isTrusted(nowMs)).toBe(false);
+    });
+
+    it('is tried with one run at a time, ever more rarely', () => {
+      const pauses: number[] = [];
+      for (let i = 0; i < 3; i++) {
+        const from = nowMs;
+        while (!state.isUsable(nowMs)) nowMs += 10;
+        pauses.push(nowMs - from);
+        end('older', RUN_END.COMPLETED);
+        expect(state.freeSlots(nowMs)).toBe(1);
+        run(`trial-${i}`, RUN_END.BROKEN);
+      }
+      expect(pauses[1]).toBeGreaterThan(pauses[0]!);
+      expect(pauses[2]).toBeGreaterThan(pauses[1]!);
+    });
+
+    it('gets its slots back with a newer run, and single runs only later', () => {
+      while (!state.isUsable(nowMs)) nowMs += 10;
+      end('older', RUN_END.COMPLETED);
+      run('trial', RUN_END.COMPLETED);
+      expect(state.freeSlots(nowMs)).toBe(SLOTS);
+      expect(state.isTrusted(nowMs)).toBe(false);
+      nowMs += SAFE_TRIAL_MS;
+      expect(state.isTrusted(nowMs)).toBe(true);
+    });
+  });
+
+  it('is trusted again at once after a single break', () => {
+    run('a', RUN_END.BROKEN);
+    expect(state.isTrusted(nowMs)).toBe(false);
+    run('b', RUN_END.COMPLETED);
+    expect(state.isTrusted(nowMs)).toBe(true);
+  });
+
+  it('that refused connections is trusted again with its first run', () => {
+    run('a', RUN_END.UNREACHABLE);
+    while (!state.isUsable(nowMs)) nowMs += 10;
+    expect(state.isTrusted(nowMs)).toBe(false);
+    run('b', RUN_END.COMPLETED);
+    expect(state.isTrusted(nowMs)).toBe(true);
+  });
+});
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -41,7 +41,10 @@
   failureShare = 0;
   private failuresInRow = 0;
   private brokenInRow = 0;
+  /** When a failure last told something about the upstream itself. */
+  private lastFailureMs = -Infinity;
   private pausedUntilMs = -Infinity;
+  private distrustedUntilMs = -Infinity;
   private lastSignMs = -Infinity;
   private foreignRuns = 0;
   private foreignUntilMs = -Infinity;
@@ -56,9 +59,11 @@
 
   /**
    * Whether a request may go there that must not be repeated: one that failed is
-   * first tried with others, as it may break each connection that it accepts.
+   * first tried with others. Where connections broke after they were accepted,
+   * that takes a while, since such an upstream may come and go.
    */
   isTrusted(nowMs: number): boolean {
+    if (nowMs < this.distrustedUntilMs) return false;
     return !this.isOnTrial || nowMs > this.pausedUntilMs + SAFE_TRIAL_MS;
   }
 
@@ -91,17 +96,20 @@
   /** Records a sign of life: the first byte of an answer. */
   started(requestId: string, load: ReportedLoad | null, nowMs: number): void {
     const run = this.runs.get(requestId);
-    if (run) run.hasStarted = true;
-    this.sawSign(nowMs);
+    if (run) {
+      run.hasStarted = true;
+      this.sawSign(run, nowMs);
+    }
     this.applyLoad(load, nowMs);
   }
 
   /** Records the end of a run and learns from it. */
   ended(report: EndReport, nowMs: number): void {
-    this.applyLoad(report.load, nowMs);
+    const run = this.runs.get(report.requestId);
     this.runs.delete(report.requestId);
-    if (report.end === RUN_END.COMPLETED) {
-      this.sawSign(nowMs);
+    this.applyLoad(report.load, nowMs);
+    if (run && report.end === RUN_END.COMPLETED) {
+      this.sawSign(run, nowMs);
       this.unitMs = learn(this.unitMs, report.eventGapMs ?? report.runMs);
     }
     this.judge(report.end, nowMs);
@@ -116,8 +124,12 @@
     return tokens;
   }
 
-  private sawSign(nowMs: number): void {
+  private sawSign(run: Run, nowMs: number): void {
     this.lastSignMs = nowMs;
+    // Older runs may go on while new connections fail.
+    if (run.grantedAtMs < this.lastFailureMs) return;
+    // A single break says little once others get through.
+    if (this.brokenInRow < BROKEN_BEFORE_PAUSE) this.distrustedUntilMs = nowMs;
     this.failuresInRow = 0;
     this.brokenInRow = 0;
   }
@@ -133,11 +145,14 @@
       case RUN_END.SILENT:
         this.learnFailure(1);
         this.pause(nowMs);
+        this.distrust(nowMs);
         return;
       case RUN_END.BROKEN:
         this.learnFailure(1);
+        this.lastFailureMs = nowMs;
         this.brokenInRow++;
         if (this.brokenInRow >= BROKEN_BEFORE_PAUSE) this.pause(nowMs);
+        this.distrust(nowMs);
         return;
       case RUN_END.UNREACHABLE:
         this.pause(nowMs);
@@ -159,7 +174,13 @@
     this.failureShare += FAILURE_LEARNING_RATE * (sample - this.failureShare);
   }
 
+  private distrust(nowMs: number): void {
+    const fromMs = Math.max(nowMs, this.pausedUntilMs);
+    this.distrustedUntilMs = fromMs + SAFE_TRIAL_MS;
+  }
+
   private pause(nowMs: number): void {
+    this.lastFailureMs = nowMs;
     // Runs that fail together are one failure.
     if (nowMs < this.pausedUntilMs) return;
     const lengthMs = FIRST_PAUSE_MS * 2 ** this.failuresInRow;
