Keep the doubt of upstreams that come and go, and free what was given back

Silence brought the doubt as well, which no trace asked for. Ruled out: nothing else reads the two fields. Change: only a single break is forgiven by a sign; refunds reduce both.

--- a/packages/scheduling/src/token_quota.test.ts
+++ b/packages/scheduling/src/token_quota.test.ts
@@ -147,6 +147,17 @@
     expect(refused).toBe(0);
   });
 
+  it('does not count what was given back as used between two exchanges', () => {
+    const ledger = new QuotaLedger();
+    ledger.open('a', LIMIT, 0);
+    ledger.setMembers(40);
+    expect(ledger.charge('a', LIMIT, 10, 0)).toBe(0);
+    for (let i = 0; i < 9; i++) {
+      expect(ledger.charge('a', LIMIT, 90, 0)).toBe(0);
+      ledger.refund('a', 90);
+    }
+  });
+
   it('does not cut a bucket that has been filling for long', () => {
     const ledger = new QuotaLedger();
     ledger.open('a', LIMIT, 0);
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -104,6 +104,7 @@
     const bucket = this.buckets.get(account);
     if (!bucket) return;
     bucket.level += units;
+    bucket.unconfirmed = Math.max(0, bucket.unconfirmed - units);
     this.addUnreported(account, -units);
   }
 
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -129,7 +129,7 @@
     // Older runs may go on while new connections fail.
     if (run.grantedAtMs < this.lastFailureMs) return;
     // A single break says little once others get through.
-    if (this.brokenInRow < BROKEN_BEFORE_PAUSE) this.distrustedUntilMs = nowMs;
+    if (this.brokenInRow === 1) this.distrustedUntilMs = nowMs;
     this.failuresInRow = 0;
     this.brokenInRow = 0;
   }
@@ -145,7 +145,6 @@
       case RUN_END.SILENT:
         this.learnFailure(1);
         this.pause(nowMs);
-        this.distrust(nowMs);
         return;
       case RUN_END.BROKEN:
         this.learnFailure(1);
