Log when a gateway's part of the quotas changes

Ruled out: a metric alone, which does not tell since when. No placing or quota is decided differently.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -112,6 +112,7 @@
     const quotas = new QuotaLedger(settings.quotaTolerance);
     this.usage = new UsageExchange(
       clock,
+      log,
       members,
       network,
       this.monitor,
--- a/packages/gateway/src/usage_exchange.test.ts
+++ b/packages/gateway/src/usage_exchange.test.ts
@@ -30,6 +30,8 @@
   readonly quotas = new QuotaLedger();
   readonly network: PeerNetwork;
   readonly silentTo = new Set<string>();
+  /** Events of its log. */
+  readonly events: string[] = [];
   directory!: MemberDirectory;
   exchange!: UsageExchange;
   private monitor!: PeerMonitor;
@@ -41,6 +43,10 @@
     this.network = new PeerNetwork({host: '127.0.0.1', port});
   }
 
+  get logger(): Logger {
+    return {...SILENT, info: event => void this.events.push(event)};
+  }
+
   get member(): GatewayMember {
     const address = `127.0.0.1:${this.port}`;
     return {id: this.id, zone: 'z', address, isLeaving: false};
@@ -57,6 +63,7 @@
     );
     this.exchange = new UsageExchange(
       SYSTEM_CLOCK,
+      this.logger,
       this.directory,
       this.network,
       this.monitor,
@@ -138,6 +145,7 @@
       }
     }
     await ask(members, 3_500);
+    expect(one[0]!.events).toContain('quota_share_changed');
     for (const a of members) {
       a.silentTo.clear();
       for (const b of members) a.directory.clear(b.id);
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@fescuespool/common';
+import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
 import type {QuotaLedger, UsageAnswer} from '@fescuespool/scheduling';
 import {UsageHub} from '@fescuespool/scheduling';
@@ -34,6 +34,7 @@
 
   constructor(
     private readonly clock: Clock,
+    private readonly log: Logger,
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
     private readonly monitor: PeerMonitor,
@@ -110,7 +111,15 @@
   }
 
   private setShare(share: number): void {
+    const before = this.share;
     this.share = Math.min(1, share);
     this.quotas.setShare(this.share);
+    if (this.share === before) return;
+    this.log.info('quota_share_changed', {
+      share: this.share.toFixed(3),
+      before: before.toFixed(3),
+      hub: this.hubId ?? undefined,
+      members: this.members.all.length,
+    });
   }
 }
