Forget grants that no entry names, so that a queue cannot lock up

It had been frozen for 3.3 s and then granted the questions in its buffers to entries that had moved on. Their answers were lost with the links, so no entry knew these runs; they filled all slots and counted as stalled. Entries were heard by what they asked, and report only while something runs there. Ruled out: the crash suspicion, quotas, the store (no such refusals in that time). Test first: two lost grants lock the queue for good (fails before); a long run that is named stays.

--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -277,6 +277,29 @@
       expect(bed.placementOf('b')).not.toBeNull();
     });
 
+    it('gets free of grants whose answers were lost, though entries are heard', () => {
+      const bed = new Bed([upstream('u', 2)]);
+      bed.submit(work('lost-1'));
+      bed.submit(work('lost-2'));
+      for (let i = 0; i < 40; i++) {
+        bed.advance(100);
+        bed.submit(work(`w${i}`, {patienceLeftMs: 300}));
+      }
+      expect(bed.order.length).toBeGreaterThan(2);
+    });
+
+    it('keeps a long run that its entry names', () => {
+      const bed = new Bed([upstream('u')]);
+      bed.submit(work('long'));
+      bed.queue.started({requestId: 'long', startMs: 10, load: null});
+      for (let i = 0; i < 40; i++) {
+        bed.advance(100);
+        bed.queue.reconcile(ENTRY, [{requestId: 'long', instanceId: 'u'}]);
+      }
+      bed.submit(work('next'));
+      expect(bed.placementOf('next')).toBeNull();
+    });
+
     it('sends a retry elsewhere, and waits where the other is busy', () => {
       const bed = new Bed([upstream('u'), upstream('v')]);
       bed.submit(work('a'));
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -2,6 +2,7 @@
 import {
   AVOIDED_ZONE_COST_MS,
   CROSS_ZONE_COST_MS,
+  ENTRY_SILENCE_MS,
   FAILURE_COST_MS,
   MAX_RETRY_AFTER_MS,
   MAX_RETURNS,
@@ -215,6 +216,11 @@
       now,
       (run, state) => now - run.grantedAtMs > this.speed.runMs(state),
     );
+    // A grant whose answer was lost is known to no entry; without another grant
+    // its entry reports nothing that would show so.
+    for (const state of this.upstreams.values()) {
+      state.dropUnconfirmed(now, ENTRY_SILENCE_MS);
+    }
     this.place();
   }
 
@@ -370,6 +376,7 @@
       grantedAtMs: now,
       expectedStartMs: startMs,
       hasStarted: false,
+      confirmedAtMs: now,
     });
     waiting.answer({
       kind: 'placed',
--- a/packages/scheduling/src/upstream_state.test.ts
+++ b/packages/scheduling/src/upstream_state.test.ts
@@ -29,6 +29,7 @@
       grantedAtMs: nowMs,
       expectedStartMs: 50,
       hasStarted: false,
+      confirmedAtMs: nowMs,
     });
   };
   const end = (requestId: string, how: RunEnd): void =>
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -23,6 +23,8 @@
   readonly grantedAtMs: number;
   readonly expectedStartMs: number;
   hasStarted: boolean;
+  /** When it was granted, or its entry last named it. */
+  confirmedAtMs: number;
 }
 
 function learn(before: number | null, sample: number): number {
@@ -82,7 +84,11 @@
 
   /** Counts a run that an earlier dispatcher granted. */
   adopt(requestId: string, entryId: string, nowMs: number): void {
-    if (this.runs.has(requestId)) return;
+    const known = this.runs.get(requestId);
+    if (known) {
+      known.confirmedAtMs = nowMs;
+      return;
+    }
     this.runs.set(requestId, {
       requestId,
       entryId,
@@ -90,9 +96,17 @@
       grantedAtMs: nowMs,
       expectedStartMs: 0,
       hasStarted: true,
+      confirmedAtMs: nowMs,
     });
   }
 
+  /** Forgets runs that no entry has named for some milliseconds. */
+  dropUnconfirmed(nowMs: number, afterMs: number): void {
+    for (const run of [...this.runs.values()]) {
+      if (nowMs - run.confirmedAtMs > afterMs) this.runs.delete(run.requestId);
+    }
+  }
+
   /** Records a sign of life: the first byte of an answer. */
   started(requestId: string, load: ReportedLoad | null, nowMs: number): void {
     const run = this.runs.get(requestId);
