Log what a probe of a broken upstream shows, and each recorded death

The logs could not tell whether an engine's death was found, which requests it had in flight, which prompt parts these held and whether they had begun to answer. upstream_probed says so, death_recorded shows at which gateways a death is known, and a counter upstream_probes_total goes with them. Nothing is decided differently.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,8 +131,11 @@
       dispatchClient,
       quotaLedger,
       poisonRegistry: new PoisonRegistry(clock, (fingerprint, deaths) => {
-        if (deaths < POISON_DEATH_THRESHOLD) return;
-        log.warn('crash_suspected', {fingerprint, deaths});
+        const event =
+          deaths < POISON_DEATH_THRESHOLD
+            ? 'death_recorded'
+            : 'crash_suspected';
+        log.warn(event, {fingerprint, deaths});
       }),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -39,6 +39,12 @@
     upstreamState: string,
     end: string,
   ) => void;
+  /** Records what probing an upstream after a broken connection showed. */
+  readonly recordProbe: (
+    route: RouteLabels,
+    result: string,
+    hasBegun: boolean,
+  ) => void;
   /** Records the time from a send to the first event of its stream. */
   readonly recordFirstEvent: (
     route: RouteLabels,
@@ -83,6 +89,12 @@
     labelNames: [...ROUTE_LABELS, 'upstream_state', 'end'],
     registers,
   });
+  const probes = new Counter({
+    name: `${PREFIX}upstream_probes_total`,
+    help: 'Probes of upstreams after a broken connection by their result',
+    labelNames: [...ROUTE_LABELS, 'result', 'begun'],
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -130,6 +142,8 @@
       queueWaits.observe({...route, outcome}, waitMs),
     recordSendEnd: (route, upstreamState, end) =>
       sends.inc({...route, upstream_state: upstreamState, end}),
+    recordProbe: (route, result, hasBegun) =>
+      probes.inc({...route, result, begun: String(hasBegun)}),
     recordFirstEvent: (route, upstreamState, startMs) =>
       firstEventDelays.observe(
         {...route, upstream_state: upstreamState},
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -83,6 +83,8 @@
   readonly tokens: {readonly prompt: number; readonly output: number} | null;
   /** Event after which to resume a stream; null to start from its beginning. */
   readonly lastEventId: string | null;
+  /** Ids of the parts of its prompt, some of which other requests share. */
+  readonly promptParts: readonly string[];
 }
 
 /** Values for the headers that the gateway adds to a forwarded request. */
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,3 +1,4 @@
+import type {ValueOf} from '@fescuespool/common';
 import type {Placement, RunEnd} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
@@ -30,6 +31,14 @@
 const FIRST_REDIRECT = 300;
 const OK = 200;
 
+/** What probing an upstream shows after a connection to it has failed. */
+const PROBE_RESULT = {
+  ALIVE: 'alive',
+  DIED: 'died',
+  /** Nor do the other probed upstreams of its zone accept connections. */
+  ZONE_UNREACHABLE: 'zone_unreachable',
+} as const;
+
 /** Outcome of one send to an upstream. */
 export interface SendOutcome {
   readonly end: RunEnd;
@@ -80,6 +89,8 @@
 /** Sends a request once, to the upstream that it was placed on. */
 export class UpstreamAttempt {
   private sentAtMs = 0;
+  /** Time of the first event of a stream; null before it. */
+  private firstEventAtMs: number | null = null;
   private readonly routeLabels: RouteLabels;
   /** Metric label: state of the upstream when it was granted. */
   private readonly upstreamState: string;
@@ -228,7 +239,10 @@
         );
         res.writeHead(exchange.res.statusCode ?? OK, headers);
       },
-      onFirstEvent: () => this.reportStart(this.reportedLoad),
+      onFirstEvent: () => {
+        this.firstEventAtMs = clock.monotonicMs();
+        this.reportStart(this.reportedLoad);
+      },
       idleTimeoutMs: this.mayRepeat ? STREAM_EVENT_TIMEOUT_MS : null,
     });
     return this.handleRelayResult(exchange, result);
@@ -288,13 +302,13 @@
   }
 
   /**
-   * Whether the upstream has died. If the probed upstreams in its zone can't be
-   * reached either, a network partition is assumed, which says nothing about the
-   * request.
+   * Finds out whether the upstream has died. If the probed upstreams in its zone
+   * can't be reached either, a network partition is assumed, which says nothing
+   * about the request.
    */
-  private async hasUpstreamDied(): Promise<boolean> {
+  private async probeUpstream(): Promise<ValueOf<typeof PROBE_RESULT>> {
     const {upstream} = this.placement;
-    if (await acceptsConnections(upstream.address)) return false;
+    if (await acceptsConnections(upstream.address)) return PROBE_RESULT.ALIVE;
     const others = this.gateway.upstreams.othersInZone(
       upstream,
       MAX_ZONE_PROBES,
@@ -302,13 +316,35 @@
     const probeResults = await Promise.all(
       others.map(({address}) => acceptsConnections(address)),
     );
-    return probeResults.length === 0 || probeResults.includes(true);
+    const isZoneReachable =
+      probeResults.length === 0 || probeResults.includes(true);
+    return isZoneReachable ? PROBE_RESULT.DIED : PROBE_RESULT.ZONE_UNREACHABLE;
+  }
+
+  /** Probes the upstream and announces its death if it has died. */
+  private async checkForDeath(): Promise<void> {
+    const {upstream} = this.placement;
+    const {log, metrics, announceDeath} = this.gateway;
+    const {fingerprint, head} = this.request;
+    const hasBegun = this.firstEventAtMs !== null;
+    const result = await this.probeUpstream();
+    log.info('upstream_probed', {
+      id: head.requestId,
+      upstream: upstream.instanceId,
+      result,
+      hasBegun,
+      fingerprint,
+      promptParts: head.promptParts.join(',') || undefined,
+    });
+    metrics.recordProbe(this.routeLabels, result, hasBegun);
+    if (result !== PROBE_RESULT.DIED) return;
+    announceDeath(fingerprint, upstream.instanceId);
   }
 
   private reportFailure(outcome: SendOutcome, runMs: number): void {
     const {upstream} = this.placement;
     const {end, cause, mayHaveRun} = outcome;
-    const {log, announceDeath} = this.gateway;
+    const {log} = this.gateway;
     log.warn('send_failed', {
       id: this.request.head.requestId,
       upstream: upstream.instanceId,
@@ -321,9 +357,7 @@
     // A broken connection may mean that the upstream died with this request in
     // flight.
     if (!outcome.isConnectionFailure || !mayHaveRun) return;
-    void this.hasUpstreamDied().then(isDead => {
-      if (isDead) announceDeath(this.request.fingerprint, upstream.instanceId);
-    });
+    void this.checkForDeath();
   }
 }
 
