Find a dead upstream also while others of its zone are down

When a connection broke, the gateway probed the upstream and three others of its zone, always the same three.

The others are now chosen by their last complete response, and those with a failed connection since then come last. A partition still breaks them all. several_deaths.test.ts got zone_unreachable before and passes now, with the 33 tests of platform_gateway.test.ts.

--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -114,9 +114,15 @@
    * dispatcher and the metrics.
    */
   async run(): Promise<SendOutcome> {
-    const {clock, dispatchClient, metrics} = this.gateway;
+    const {clock, dispatchClient, metrics, upstreams} = this.gateway;
     this.sentAtMs = clock.monotonicMs();
     const outcome = await this.handleSendResult(await this.send());
+    const {instanceId} = this.placement.upstream;
+    if (outcome.end === RUN_END.COMPLETED) {
+      upstreams.recordResponse(instanceId, clock.monotonicMs());
+    } else if (outcome.isConnectionFailure) {
+      upstreams.recordConnectionFailure(instanceId);
+    }
     const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
     const {end, eventGapMs} = outcome;
     const load = isStream(this.request.admission.route)
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -3,9 +3,17 @@
 import {MAX_REMOVED_UPSTREAMS} from './constants.js';
 import type {UpstreamsByService} from './dispatcher.js';
 
+/** Sorts an upstream behind those that have not been used yet. */
+const CONNECTION_FAILED = -1;
+
 /** Tracks the currently registered upstreams and recently removed ones. */
 export class UpstreamRegistry {
   private readonly byId = new Map<string, UpstreamSpec>();
+  /**
+   * Monotonic milliseconds of each upstream's last complete response, or
+   * CONNECTION_FAILED if a connection to it has failed since then.
+   */
+  private readonly lastResponseMs = new Map<string, number>();
   private readonly removed = new LRUCache<string, true>({
     max: MAX_REMOVED_UPSTREAMS,
   });
@@ -25,10 +33,22 @@
       for (const spec of specs) this.byId.set(spec.instanceId, spec);
     }
     for (const id of previousIds) {
-      if (!this.byId.has(id)) this.removed.set(id, true);
+      if (this.byId.has(id)) continue;
+      this.removed.set(id, true);
+      this.lastResponseMs.delete(id);
     }
   }
 
+  /** Records a complete response, at a monotonic time in milliseconds. */
+  recordResponse(instanceId: string, atMs: number): void {
+    if (this.byId.has(instanceId)) this.lastResponseMs.set(instanceId, atMs);
+  }
+
+  /** Records that a connection broke or could not be established. */
+  recordConnectionFailure(instanceId: string): void {
+    this.recordResponse(instanceId, CONNECTION_FAILED);
+  }
+
   /**
    * Whether an upstream is leaving or was removed. False for one that was never
    * registered here, as it may be newer than this member's list.
@@ -37,14 +57,20 @@
     return this.byId.get(instanceId)?.isLeaving ?? this.removed.has(instanceId);
   }
 
-  /** Up to `limit` other upstreams in the same zone that are not leaving. */
+  /**
+   * Up to `limit` other upstreams in the same zone that are not leaving, first
+   * those that responded last, since some of the others may be down.
+   */
   othersInZone(
     {instanceId, zone}: UpstreamSpec,
     limit: number,
   ): UpstreamSpec[] {
+    const lastMs = (spec: UpstreamSpec): number =>
+      this.lastResponseMs.get(spec.instanceId) ?? 0;
     return [...this.byId.values()]
       .filter(spec => spec.zone === zone && spec.instanceId !== instanceId)
       .filter(spec => !spec.isLeaving)
+      .sort((a, b) => lastMs(b) - lastMs(a))
       .slice(0, limit);
   }
 }
