Refuse requests with a prompt part that crashes upstreams

Cause: what crashes upstreams was known by the hash of account, path and body alone. Requests that share only one part of their prompt were never seen as related, so each of them cost the engines that its retries reached. The class of fault: evidence is kept under a key narrower than its cause.

Change: findCrashCause decides on plain data, from deaths of upstreams with the requests that had been in flight without an answer, which prompt part explains them: three deaths apart in time and two contents; a part yields to a later one that explains the same deaths, since the requests share their first parts and their account with sound ones. CrashCauseTracker keeps the deaths, clears a part once a response to another request with it has gone on, and blames nobody else for what a known cause explains. CrashGuard shares deaths, clearances and causes among the gateways; one that has started or was cut off asks the others in turn, one a second. Gateways refuse such requests at once, as not run, and give back grants of those that waited meanwhile.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -151,6 +151,36 @@
 /** Maximum number of fingerprints whose deaths are kept. */
 export const MAX_POISON_FINGERPRINTS = 4_096;
 
+/** Number of separate deaths from which a prompt part is blamed for them. */
+export const MIN_CRASH_EPISODES = 3;
+/** Number of contents among these; repeats of one have a fingerprint. */
+export const MIN_CRASH_CONTENTS = 2;
+/** Time in milliseconds within which deaths may stem from one outage. */
+export const DEATH_EPISODE_MS = 100;
+/** Time in milliseconds within which entries report the same death. */
+export const DEATH_REPORT_SPREAD_MS = 1_000;
+/** Time in milliseconds for which responses may still clear a part. */
+export const DEATH_SETTLE_MS = 250;
+/** Time in milliseconds for which a death without a known cause is kept. */
+export const UPSTREAM_DEATH_TTL_MS = 300_000;
+/** Maximum number of deaths kept. */
+export const MAX_UPSTREAM_DEATHS = 64;
+/** Maximum number of suspects kept per death. */
+export const MAX_SUSPECTS_PER_DEATH = 8;
+/** Time in milliseconds for which a new cause is in force. */
+export const CRASH_CAUSE_TTL_MS = 300_000;
+/** Maximum time in milliseconds for which a repeated cause is in force. */
+export const MAX_CRASH_CAUSE_TTL_MS = 3_600_000;
+/** Maximum number of causes kept. */
+export const MAX_CRASH_CAUSES = 256;
+/** Shortest interval in milliseconds of the search for a cause. */
+export const CRASH_EVALUATION_INTERVAL_MS = 50;
+/**
+ * Time in milliseconds for which a response must go on after its first event
+ * until its request is cleared of crashing its upstream.
+ */
+export const RESPONSE_SURVIVAL_MS = 100;
+
 /** Characters of a prompt in one prefix block. */
 export const PREFIX_BLOCK_CHARS = 512;
 /** Estimated characters per token, where no tokenizer is available. */
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -143,3 +143,26 @@
   readonly isModel: boolean;
   readonly isLeaving: boolean;
 }
+
+/** A request that was in flight, its response not yet begun, at a death. */
+export interface CrashSuspect {
+  /** Hash of the request's account and content. */
+  readonly content: string;
+  /** Ids of the parts of its prompt, in order. */
+  readonly parts: readonly string[];
+}
+
+/** Death of an upstream with the requests that may have caused it. */
+export interface UpstreamDeath {
+  readonly upstreamId: string;
+  /** Monotonic time in milliseconds of its first report. */
+  readonly atMs: number;
+  readonly suspects: CrashSuspect[];
+}
+
+/** A prompt part that crashes upstreams. */
+export interface CrashCause {
+  readonly part: string;
+  /** Milliseconds for which requests with it are refused. */
+  readonly remainingMs: number;
+}
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -71,7 +71,7 @@
       await this.gateway.whenConfigured();
       admission = this.admit(req, head);
       const fingerprint = fingerprintOf(req.url ?? '', admission.account, body);
-      this.refuseCrashSuspect(fingerprint);
+      this.refuseCrashSuspect(fingerprint, head);
       this.charge(admission, head.tokens !== null);
       isCharged = true;
       const {timeoutMs} = admission.route;
@@ -130,8 +130,12 @@
     );
   }
 
-  private refuseCrashSuspect(fingerprint: string): void {
-    if (!this.gateway.poisonRegistry.isSuspected(fingerprint)) return;
+  private refuseCrashSuspect(
+    fingerprint: string,
+    {promptParts}: RequestHead,
+  ): void {
+    const evidence = {fingerprint, promptParts};
+    if (!this.gateway.crashGuard.isSuspected(evidence)) return;
     throw new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
   }
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -19,7 +19,7 @@
   /** The configuration is too old to decide whether the key is still valid. */
   STALE_CONFIG: 'stale_config',
   QUOTA_EXCEEDED: 'quota_exceeded',
-  /** Upstreams died while running requests with the same fingerprint. */
+  /** Upstreams died while running the same content or the same prompt part. */
   CRASH_SUSPECTED: 'crash_suspected',
   OVERLOADED: 'overloaded',
   EXPIRED: 'expired',
@@ -65,8 +65,17 @@
   REPORT: 'gateway.report',
   USAGE: 'gateway.usage',
   DEATH: 'gateway.death',
+  PARTS_CLEARED: 'gateway.parts_cleared',
+  CRASH_CAUSES_FOUND: 'gateway.crash_causes_found',
+  CRASH_CAUSES: 'gateway.crash_causes',
 } as const;
 
+/** Interval in milliseconds at which a member asks another for crash causes. */
+export const CRASH_CAUSE_PULL_INTERVAL_MS = 1_000;
+
+/** Timeout in milliseconds of that call. */
+export const CRASH_CAUSE_PULL_TIMEOUT_MS = 500;
+
 /** Interval in milliseconds at which queues check for expired requests. */
 export const QUEUE_TICK_INTERVAL_MS = 25;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,9 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import {
-  POISON_DEATH_THRESHOLD,
-  PoisonRegistry,
-} from '@fescuespool/coordination';
 import {QuotaLedger} from '@fescuespool/scheduling';
 import {PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
 import http from 'node:http';
@@ -15,7 +11,6 @@
 import {
   CONFIG_AGE_MARGIN_MS,
   DEREGISTRATION_DELAY_MS,
-  GATEWAY_METHOD,
   MAX_HEADER_BYTES,
   MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
   MAX_STARTUP_WAIT_MS,
@@ -23,6 +18,7 @@
   UPSTREAM_IDLE_TIMEOUT_MS,
   USAGE_HUB_KEY,
 } from './constants.js';
+import {CrashGuard} from './crash_guard.js';
 import {DispatchClient} from './dispatch_client.js';
 import type {UpstreamsByService} from './dispatcher.js';
 import {Dispatcher} from './dispatcher.js';
@@ -130,13 +126,7 @@
       members,
       dispatchClient,
       quotaLedger,
-      poisonRegistry: new PoisonRegistry(clock, (fingerprint, deaths) => {
-        const event =
-          deaths < POISON_DEATH_THRESHOLD
-            ? 'death_recorded'
-            : 'crash_suspected';
-        log.warn(event, {fingerprint, deaths});
-      }),
+      crashGuard: new CrashGuard(clock, log, members, network),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
         MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
@@ -145,8 +135,6 @@
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
       metrics: this.metrics,
-      announceDeath: (fingerprint, instanceId) =>
-        this.announceDeath(fingerprint, instanceId),
     };
     this.callerServer = new CallerServer(this.context);
     this.callerHttpServer = http.createServer(
@@ -172,7 +160,7 @@
     const handlers = createPeerHandlers({
       dispatcher: this.dispatcher,
       usageExchange: this.usageExchange,
-      poisonRegistry: this.context.poisonRegistry,
+      crashGuard: this.context.crashGuard,
       whenConfigured: () => this.whenConfigured(),
     });
     await this.network.listen({...this.peers.handlers, ...handlers});
@@ -275,6 +263,7 @@
   close(): void {
     this.monitor.close();
     this.usageExchange.close();
+    this.context.crashGuard.close();
     this.context.dispatchClient.close();
     this.dispatcher.close();
     this.network.close();
@@ -310,18 +299,6 @@
     this.configuredListeners.clear();
   }
 
-  /**
-   * Records the death of an upstream and reports it to the other members, since
-   * the caller may retry at any of them.
-   */
-  private announceDeath(fingerprint: string, instanceId: string): void {
-    this.context.poisonRegistry.recordDeath(fingerprint, instanceId);
-    const params = {fingerprint, instanceId};
-    for (const member of this.members.otherMembers) {
-      this.network.notify(member, GATEWAY_METHOD.DEATH, params);
-    }
-  }
-
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,8 +1,8 @@
 import type {Clock, Logger} from '@fescuespool/common';
-import type {PoisonRegistry} from '@fescuespool/coordination';
 import type {QuotaLedger} from '@fescuespool/scheduling';
 import type {Agent} from 'node:http';
 import type {ConfigState} from './config_state.js';
+import type {CrashGuard} from './crash_guard.js';
 import type {DispatchClient} from './dispatch_client.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {MemberDirectory} from './member_directory.js';
@@ -21,7 +21,7 @@
   readonly members: MemberDirectory;
   readonly dispatchClient: DispatchClient;
   readonly quotaLedger: QuotaLedger;
-  readonly poisonRegistry: PoisonRegistry;
+  readonly crashGuard: CrashGuard;
   /** Pool of keep-alive connections to upstreams. */
   readonly upstreamAgent: Agent;
   readonly upstreams: UpstreamRegistry;
@@ -31,10 +31,5 @@
    * MAX_STARTUP_WAIT_MS.
    */
   readonly whenConfigured: () => Promise<void>;
-  /**
-   * Records at all members that an upstream died while running a request with
-   * this fingerprint.
-   */
-  readonly announceDeath: (fingerprint: string, instanceId: string) => void;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,3 +1,4 @@
+import {MAX_CRASH_CAUSES} from '@fescuespool/coordination';
 import {QUEUE_REFUSAL, RUN_END} from '@fescuespool/scheduling';
 import {z} from 'zod';
 
@@ -102,5 +103,28 @@
   usage: USAGE_SCHEMA,
 });
 
-/** Params of the notice that an upstream died with a request in flight. */
-export const DEATH_SCHEMA = z.object({fingerprint: ID, instanceId: ID});
+const MAX_PARTS = 64;
+const PARTS = z.array(ID).max(MAX_PARTS);
+
+/**
+ * Params of the notice that an upstream died with a request in flight. The parts
+ * are those of its prompt, or none if its response had begun.
+ */
+export const DEATH_SCHEMA = z.object({
+  fingerprint: ID,
+  instanceId: ID,
+  suspectParts: PARTS.default([]),
+});
+
+/** Notice that an upstream died with a request in flight. */
+export type DeathReport = z.infer<typeof DEATH_SCHEMA>;
+
+/** Params of the notice that prompt parts don't crash upstreams. */
+export const PARTS_CLEARED_SCHEMA = z.object({parts: PARTS});
+
+/** Prompt parts that crash upstreams, with the time for which to refuse them. */
+export const CRASH_CAUSES_SCHEMA = z.object({
+  causes: z
+    .array(z.object({part: ID, remainingMs: MILLISECONDS}))
+    .max(MAX_CRASH_CAUSES),
+});
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -1,12 +1,14 @@
-import type {PoisonRegistry} from '@fescuespool/coordination';
 import type {PeerHandlers} from '@fescuespool/transport';
 import {withValidatedParams} from '@fescuespool/transport';
 import {GATEWAY_METHOD} from './constants.js';
+import type {CrashGuard} from './crash_guard.js';
 import type {Dispatcher} from './dispatcher.js';
 import {
+  CRASH_CAUSES_SCHEMA,
   DEATH_SCHEMA,
   ENDED_SCHEMA,
   GRANT_SCHEMA,
+  PARTS_CLEARED_SCHEMA,
   REPORT_SCHEMA,
   REQUEST_REF_SCHEMA,
   STARTED_SCHEMA,
@@ -18,7 +20,7 @@
 export interface PeerHandlerDependencies {
   readonly dispatcher: Dispatcher;
   readonly usageExchange: UsageExchange;
-  readonly poisonRegistry: PoisonRegistry;
+  readonly crashGuard: CrashGuard;
   /**
    * Resolves once configuration and upstreams are loaded, at the latest after
    * MAX_STARTUP_WAIT_MS.
@@ -30,8 +32,7 @@
 export function createPeerHandlers(
   dependencies: PeerHandlerDependencies,
 ): PeerHandlers {
-  const {dispatcher, usageExchange, poisonRegistry, whenConfigured} =
-    dependencies;
+  const {dispatcher, usageExchange, crashGuard, whenConfigured} = dependencies;
   return {
     [GATEWAY_METHOD.PING]: () => true,
     [GATEWAY_METHOD.GRANT]: withValidatedParams(
@@ -62,10 +63,17 @@
       USAGE_REPORT_SCHEMA,
       ({memberId, usage}) => usageExchange.handleUsageReport(memberId, usage),
     ),
-    [GATEWAY_METHOD.DEATH]: withValidatedParams(
-      DEATH_SCHEMA,
-      ({fingerprint, instanceId}) =>
-        poisonRegistry.recordDeath(fingerprint, instanceId),
+    [GATEWAY_METHOD.DEATH]: withValidatedParams(DEATH_SCHEMA, report =>
+      crashGuard.recordDeath(report),
     ),
+    [GATEWAY_METHOD.PARTS_CLEARED]: withValidatedParams(
+      PARTS_CLEARED_SCHEMA,
+      ({parts}) => crashGuard.recordSurvival(parts),
+    ),
+    [GATEWAY_METHOD.CRASH_CAUSES_FOUND]: withValidatedParams(
+      CRASH_CAUSES_SCHEMA,
+      ({causes}) => crashGuard.adoptCauses(causes),
+    ),
+    [GATEWAY_METHOD.CRASH_CAUSES]: () => ({causes: crashGuard.causes}),
   };
 }
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,4 +1,4 @@
-import type {GrantRequest, Placement} from '@fescuespool/scheduling';
+import type {GrantRequest, Placement, RunEnd} from '@fescuespool/scheduling';
 import {
   MIN_RETRY_AFTER_MS,
   QUEUE_REFUSAL,
@@ -44,7 +44,12 @@
     private readonly request: OpenRequest,
   ) {
     const {lastEventId} = request.head;
-    this.progress = {lastEventId, hasSentHead: false, firstEventMs: null};
+    this.progress = {
+      lastEventId,
+      hasSentHead: false,
+      firstEventMs: null,
+      hasSurvived: false,
+    };
     const draw = gateway.random();
     this.service =
       pickTarget(request.admission.route.targets, draw)?.service ?? '';
@@ -78,9 +83,14 @@
         throw placed;
       }
       if (this.gateway.upstreams.isLeaving(placed.upstream)) {
-        this.returnGrant(placed);
+        this.returnGrant(placed, RUN_END.LEAVING);
         continue;
       }
+      // The cause of crashes may have been found while the request waited.
+      if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
+        this.returnGrant(placed, RUN_END.CANCELLED);
+        throw this.createCrashRefusal();
+      }
       const outcome = await this.attempt(placed);
       if (outcome.isDone) return;
       if (this.canRetry(outcome)) continue;
@@ -169,10 +179,10 @@
   }
 
   /**
-   * Returns the grant of an upstream that is leaving; the dispatcher that
-   * granted it had not received that state.
+   * Returns a grant unused: its upstream is leaving, which the dispatcher did not
+   * know yet, or the request may not be sent any more.
    */
-  private returnGrant({upstream}: Placement): void {
+  private returnGrant({upstream}: Placement, end: RunEnd): void {
     const {requestId} = this.request.head;
     const {instanceId} = upstream;
     this.gateway.log.info('grant_handed_back', {
@@ -181,7 +191,7 @@
     });
     this.gateway.dispatchClient.reportEnd({
       requestId,
-      end: RUN_END.LEAVING,
+      end,
       runMs: 0,
       eventGapMs: null,
       load: null,
@@ -237,6 +247,11 @@
     return new GatewayRefusalError(NOT_ACCEPTED, MIN_RETRY_AFTER_MS);
   }
 
+  private createCrashRefusal(): GatewayRefusalError {
+    if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
+    return new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
+  }
+
   private createUpstreamFailedRefusal(): GatewayRefusalError {
     return new GatewayRefusalError(GATEWAY_REFUSAL.UPSTREAM_FAILED);
   }
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -1,3 +1,4 @@
+import {RESPONSE_SURVIVAL_MS} from '@fescuespool/coordination';
 import type {HttpExchange} from '@fescuespool/transport';
 import {writeWithBackpressure} from '@fescuespool/transport';
 import type {ServerResponse} from 'node:http';
@@ -12,6 +13,8 @@
   hasSentHead: boolean;
   /** Milliseconds from the request to its first event; null until then. */
   firstEventMs: number | null;
+  /** Whether an upstream has gone on after it had begun the response. */
+  hasSurvived: boolean;
 }
 
 /** How the relay of one upstream's stream ended. */
@@ -33,6 +36,8 @@
   /** Sends the response head, before the first event or an empty end. */
   readonly writeHead: () => void;
   readonly onFirstEvent: () => void;
+  /** Called for events that arrive RESPONSE_SURVIVAL_MS after the first one. */
+  readonly onSurvival: () => void;
   /** Milliseconds without a new event that end the relay; null for no limit. */
   readonly idleTimeoutMs: number | null;
 }
@@ -76,6 +81,7 @@
         firstAtMs = lastAtMs;
         options.onFirstEvent();
       }
+      if (lastAtMs - firstAtMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
       eventCount += newEvents.length;
       if (!progress.hasSentHead) {
         options.writeHead();
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -89,8 +89,6 @@
 /** Sends a request once, to the upstream that it was placed on. */
 export class UpstreamAttempt {
   private sentAtMs = 0;
-  /** Time of the first event of a stream; null before it. */
-  private firstEventAtMs: number | null = null;
   private readonly routeLabels: RouteLabels;
   /** Metric label: state of the upstream when it was granted. */
   private readonly upstreamState: string;
@@ -245,10 +243,8 @@
         );
         res.writeHead(exchange.res.statusCode ?? OK, headers);
       },
-      onFirstEvent: () => {
-        this.firstEventAtMs = clock.monotonicMs();
-        this.reportStart(this.reportedLoad);
-      },
+      onFirstEvent: () => this.reportStart(this.reportedLoad),
+      onSurvival: () => this.recordSurvival(),
       idleTimeoutMs: this.mayRepeat ? STREAM_EVENT_TIMEOUT_MS : null,
     });
     return this.handleRelayResult(exchange, result);
@@ -256,9 +252,10 @@
 
   private handleRelayResult(
     exchange: HttpExchange,
-    {end, eventGapMs}: RelayResult,
+    {end, eventCount, eventGapMs}: RelayResult,
   ): SendOutcome {
     if (end === 'complete') {
+      if (eventCount > 0) this.recordSurvival();
       this.request.res.end();
       return {...COMPLETED, eventGapMs};
     }
@@ -291,12 +288,20 @@
     const meansNotRun = NOT_RUN_STATUSES.has(status);
     if (status < FIRST_SERVER_ERROR && !meansNotRun) {
       sendBufferedResponse(this.request, this.gateway.wireFormat, response);
+      this.recordSurvival();
       return COMPLETED;
     }
     const outcome = failedRun(RUN_END.FAILED, `status ${status}`);
     return {...outcome, errorResponse: meansNotRun ? null : response};
   }
 
+  private recordSurvival(): void {
+    if (this.progress.hasSurvived) return;
+    this.progress.hasSurvived = true;
+    const {promptParts} = this.request.head;
+    this.gateway.crashGuard.announceSurvival(promptParts);
+  }
+
   private reportStart(load: UpstreamResponseHead['load']): void {
     const {clock, dispatchClient, metrics} = this.gateway;
     const startMs = Math.round(clock.monotonicMs() - this.sentAtMs);
@@ -330,9 +335,9 @@
   /** Probes the upstream and announces its death if it has died. */
   private async checkForDeath(): Promise<void> {
     const {upstream} = this.placement;
-    const {log, metrics, announceDeath} = this.gateway;
+    const {log, metrics, crashGuard} = this.gateway;
     const {fingerprint, head} = this.request;
-    const hasBegun = this.firstEventAtMs !== null;
+    const hasBegun = this.progress.hasSurvived;
     const result = await this.probeUpstream();
     log.info('upstream_probed', {
       id: head.requestId,
@@ -344,7 +349,9 @@
     });
     metrics.recordProbe(this.routeLabels, result, hasBegun);
     if (result !== PROBE_RESULT.DIED) return;
-    announceDeath(fingerprint, upstream.instanceId);
+    const {promptParts} = head;
+    const evidence = {fingerprint, promptParts};
+    crashGuard.announceDeath(upstream.instanceId, evidence, hasBegun);
   }
 
   private reportFailure(outcome: SendOutcome, runMs: number): void {
