Find crash causes in the daemon's cells too

The same cause as in the gateway: a cell knew a request that crashes its upstream by the hash of account and content alone, so that requests which share one prefix block could kill every model engine in turn.

CrashDetector joins both kinds of evidence and serves the gateway's guard as well as the cell. A cell records the prefix blocks of runs without a first token at a death, clears those whose runs go on or complete, refuses waiting requests once a cause is found, and announces causes to all daemons. Since block hashes are chained, a block is recognized only behind the same beginning of the prompt.

--- a/examples/grants.mjs
+++ b/examples/grants.mjs
@@ -3,9 +3,9 @@
 import {SYSTEM_CLOCK} from '@fescuespool/common';
 import {
   Cell,
+  CrashDetector,
   createPlacementPolicy,
   PLACEMENT_POLICY,
-  PoisonRegistry,
   RELEASE_KIND,
   JoinableRunRegistry,
 } from '@fescuespool/coordination';
@@ -15,7 +15,7 @@
     service: 'assist',
     clock: SYSTEM_CLOCK,
     policy: createPlacementPolicy(PLACEMENT_POLICY.PRICED),
-    poison: new PoisonRegistry(SYSTEM_CLOCK),
+    crashes: new CrashDetector(SYSTEM_CLOCK),
     joinableRuns: new JoinableRunRegistry(SYSTEM_CLOCK),
     maxWaiting: 100,
     random: Math.random,
--- a/packages/bench/src/cell_cost.ts
+++ b/packages/bench/src/cell_cost.ts
@@ -2,10 +2,10 @@
 import type {GrantRequest} from '@fescuespool/coordination';
 import {
   Cell,
+  CrashDetector,
   createPlacementPolicy,
   JoinableRunRegistry,
   PLACEMENT_POLICY,
-  PoisonRegistry,
   RELEASE_KIND,
 } from '@fescuespool/coordination';
 
@@ -57,7 +57,7 @@
       service: 'chat',
       clock: SYSTEM_CLOCK,
       policy: createPlacementPolicy(PLACEMENT_POLICY.PRICED),
-      poison: new PoisonRegistry(SYSTEM_CLOCK),
+      crashes: new CrashDetector(SYSTEM_CLOCK),
       joinableRuns: new JoinableRunRegistry(SYSTEM_CLOCK),
       maxWaiting: waiting + ENGINE_COUNT * SLOTS_PER_ENGINE + GRANT_COUNT,
       random: Math.random,
--- a/packages/coordination/src/cell.test.ts
+++ b/packages/coordination/src/cell.test.ts
@@ -3,10 +3,16 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {Cell} from './cell.js';
 import type {CellOptions} from './cell_options.js';
-import {GRANT_KIND, PLACEMENT_POLICY, RELEASE_KIND} from './constants.js';
+import {
+  DEATH_EPISODE_MS,
+  DEATH_SETTLE_MS,
+  GRANT_KIND,
+  PLACEMENT_POLICY,
+  RELEASE_KIND,
+} from './constants.js';
 import {JoinableRunRegistry} from './joinable_run_registry.js';
+import {CrashDetector} from './crash_detector.js';
 import {createPlacementPolicy} from './placement.js';
-import {PoisonRegistry} from './poison_registry.js';
 import type {
   GrantAnswer,
   GrantRequest,
@@ -67,7 +73,7 @@
         service: 'chat',
         clock: SYSTEM_CLOCK,
         policy: createPlacementPolicy(PLACEMENT_POLICY.PRICED),
-        poison: new PoisonRegistry(SYSTEM_CLOCK),
+        crashes: new CrashDetector(SYSTEM_CLOCK),
         joinableRuns: new JoinableRunRegistry(SYSTEM_CLOCK),
         maxWaiting,
         random: () => 0.5,
@@ -108,6 +114,54 @@
     preempted.splice(0);
   });
 
+  describe('requests of which one prefix block crashes upstreams', () => {
+    const specs = ['e1', 'e2', 'e3', 'e4'].map(id => ({...UPSTREAM, id}));
+    const prompt = (...prefixHashes: string[]): GrantRequest =>
+      makeRequest({prefixHashes});
+    const crashOne = async (cell: Cell): Promise<void> => {
+      const {requestId} = await grantTo(cell, prompt('first', 'first+bad'));
+      release(cell, requestId, RELEASE_KIND.UPSTREAM_DIED);
+      await sleep(DEATH_EPISODE_MS + 20);
+    };
+    const grantTo = async (
+      cell: Cell,
+      request: GrantRequest,
+    ): Promise<GrantRequest> => {
+      const answer = await cell.request(request);
+      expect(answer.kind).toBe(GRANT_KIND.GRANTED);
+      return request;
+    };
+
+    it('are refused after three deaths, sound ones with the same start are not', async () => {
+      const cell = makeCell(100, specs);
+      for (let i = 0; i < 3; i++) await crashOne(cell);
+      await sleep(DEATH_SETTLE_MS);
+      const answer = await cell.request(prompt('first', 'first+bad', 'own'));
+      expect(answer).toMatchObject({reason: 'poison_suspected'});
+      await grantTo(cell, prompt('first', 'first+sound'));
+    });
+
+    it('are refused while they wait for a slot', async () => {
+      const cell = makeCell(100, specs);
+      for (let i = 0; i < 3; i++) await crashOne(cell);
+      for (let i = 0; i < 2; i++) await grantTo(cell, prompt('other'));
+      const waiting = cell.request(prompt('first', 'first+bad', 'own'));
+      await sleep(DEATH_SETTLE_MS);
+      cell.checkDeadlines();
+      expect(await waiting).toMatchObject({reason: 'poison_suspected'});
+    });
+
+    it('are served if responses to other requests with the block go on', async () => {
+      const cell = makeCell(100, specs);
+      for (let i = 0; i < 2; i++) await crashOne(cell);
+      const sound = await grantTo(cell, prompt('first', 'first+bad'));
+      complete(cell, sound.requestId);
+      await crashOne(cell);
+      await sleep(DEATH_SETTLE_MS);
+      await grantTo(cell, prompt('first', 'first+bad'));
+    });
+  });
+
   describe('grants', () => {
     it('grants no more requests than the upstream has slots', async () => {
       const cell = makeCell();
--- a/packages/coordination/src/cell.ts
+++ b/packages/coordination/src/cell.ts
@@ -28,6 +28,7 @@
 } from './types.js';
 import type {ActiveRun} from './upstream_state.js';
 import {
+  crashEvidenceOf,
   groupRunIdsByEntry,
   updateStragglers,
   UpstreamState,
@@ -110,6 +111,7 @@
     const isFirst = !run.hasFirstToken;
     run.hasFirstToken = true;
     if (report.tokenIntervalMs !== null) {
+      this.options.crashes.recordSurvival(run.request.prefixHashes);
       const upstream = this.upstreams.get(run.upstreamId);
       upstream?.recordTokenInterval(report.tokenIntervalMs);
       updateStragglers([...this.upstreams.values()]);
@@ -124,6 +126,7 @@
     const upstream = this.upstreams.get(run.upstreamId);
     if (report.kind === RELEASE_KIND.COMPLETED) {
       upstream?.recordCompletion(run, report);
+      this.options.crashes.recordSurvival(run.request.prefixHashes);
       const {accountId, maxTokens} = run.request;
       this.lengths.recordLength(accountId, maxTokens, report.outputTokens);
       updateStragglers([...this.upstreams.values()]);
@@ -131,7 +134,7 @@
       this.options.joinableRuns.removeRun(run);
     }
     if (report.kind === RELEASE_KIND.UPSTREAM_DIED) {
-      this.options.poison.recordDeath(run.request.fingerprint, run.upstreamId);
+      this.options.crashes.recordDeath(run.upstreamId, crashEvidenceOf(run));
       if (upstream) upstream.isDown = true;
     }
     this.endRun(run);
@@ -169,8 +172,7 @@
   handleEntryLoss(memberId: string): void {
     for (const waiting of [...this.waiting.all()]) {
       if (waiting.request.entryId !== memberId) continue;
-      this.waiting.remove(waiting.request.requestId);
-      waiting.answer({kind: GRANT_KIND.MOVED});
+      this.cancel(waiting.request.requestId);
     }
     const nowMs = this.options.clock.monotonicMs();
     for (const run of this.runs.values()) {
@@ -210,6 +212,7 @@
   /** Refuses requests that miss their deadlines, preempts for urgent ones. */
   checkDeadlines(): void {
     this.lastTickMs = this.options.clock.monotonicMs();
+    this.shedder.refuseCrashSuspects();
     if (!this.options.policy.honoursTiers) return;
     this.shedder.refuseAndPreempt(this.lastTickMs);
   }
@@ -220,8 +223,7 @@
     clearTimeout(this.startTimer);
     this.queue.pause();
     for (const waiting of [...this.waiting.all()]) {
-      this.waiting.remove(waiting.request.requestId);
-      waiting.answer({kind: GRANT_KIND.MOVED});
+      this.cancel(waiting.request.requestId);
     }
     for (const run of this.runs.values()) run.release();
   }
@@ -249,8 +251,8 @@
       nowMs: this.options.clock.monotonicMs(),
       policy: this.options.policy,
       random: this.options.random,
-      hasRecordedDeath: request =>
-        this.options.poison.deathCount(request.fingerprint) > 0,
+      hasRecordedDeath: ({fingerprint}) =>
+        this.options.crashes.hasRecordedDeath(fingerprint),
     });
   }
 
@@ -274,8 +276,7 @@
     request: GrantRequest,
     answer: (answer: GrantAnswer) => void,
   ): void {
-    const {clock} = this.options;
-    const nowMs = clock.monotonicMs();
+    const nowMs = this.options.clock.monotonicMs();
     const {accountId, maxTokens, promptTokens} = request;
     const expectedTokens = this.lengths.expectedTokens(accountId, maxTokens);
     const waiting: WaitingRequest = {
--- a/packages/coordination/src/cell_options.ts
+++ b/packages/coordination/src/cell_options.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@fescuespool/common';
+import type {CrashDetector} from './crash_detector.js';
 import type {PlacementPolicy} from './placement.js';
-import type {PoisonRegistry} from './poison_registry.js';
 import type {JoinableRunRegistry} from './joinable_run_registry.js';
 import type {GrantRequest, RunningRequest} from './types.js';
 import type {ActiveRun} from './upstream_state.js';
@@ -10,7 +10,7 @@
   readonly service: string;
   readonly clock: Clock;
   readonly policy: PlacementPolicy;
-  readonly poison: PoisonRegistry;
+  readonly crashes: CrashDetector;
   /** Joinable runs, including those that the cell's predecessor granted. */
   readonly joinableRuns: JoinableRunRegistry;
   readonly maxWaiting: number;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -4,6 +4,7 @@
 export * from './constants.js';
 export * from './crash_cause.js';
 export * from './crash_cause_tracker.js';
+export * from './crash_detector.js';
 export * from './deadline_buckets.js';
 export * from './errors.js';
 export * from './fair_queue_tags.js';
--- a/packages/coordination/src/load_shedder.ts
+++ b/packages/coordination/src/load_shedder.ts
@@ -30,7 +30,7 @@
 
   /** Returns a refusal of an arriving request, or null to let it wait. */
   admit(request: GrantRequest): GrantAnswer | null {
-    if (this.options.poison.isSuspected(request.fingerprint)) {
+    if (this.isCrashSuspected(request)) {
       return this.refusal(request, REFUSAL_REASON.POISON_SUSPECTED, null);
     }
     if (!this.options.policy.honoursTiers) return null;
@@ -91,6 +91,21 @@
     waiting.answer(this.createLoadRefusal(waiting.request, reason));
   }
 
+  /** Refuses the waiting requests that are now known to crash upstreams. */
+  refuseCrashSuspects(): void {
+    for (const waiting of [...this.queue.all()]) {
+      const {request, answer} = waiting;
+      if (!this.isCrashSuspected(request)) continue;
+      this.queue.remove(request.requestId);
+      answer(this.refusal(request, REFUSAL_REASON.POISON_SUSPECTED, null));
+    }
+  }
+
+  private isCrashSuspected({fingerprint, prefixHashes}: GrantRequest): boolean {
+    const evidence = {fingerprint, parts: prefixHashes};
+    return this.options.crashes.isSuspected(evidence);
+  }
+
   /** Refuses requests that miss their deadlines, preempts for urgent ones. */
   refuseAndPreempt(nowMs: number): void {
     for (const waiting of this.queue.expired(nowMs)) {
--- a/packages/coordination/src/upstream_state.ts
+++ b/packages/coordination/src/upstream_state.ts
@@ -8,6 +8,7 @@
   UPSTREAM_HEALTH,
 } from './constants.js';
 import {PrefixCacheIndex} from './prefix_cache_index.js';
+import type {CrashEvidence} from './crash_detector.js';
 import type {
   GrantRequest,
   LoadReport,
@@ -35,6 +36,14 @@
   readonly release: () => void;
 }
 
+/** Evidence of a run whose upstream died; a response that had begun is none. */
+export function crashEvidenceOf({
+  request: {fingerprint, prefixHashes},
+  hasFirstToken,
+}: ActiveRun): CrashEvidence {
+  return {fingerprint, parts: hasFirstToken ? [] : prefixHashes};
+}
+
 function smooth(previous: number, sample: number): number {
   return previous + RATE_SMOOTHING * (sample - previous);
 }
--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -11,15 +11,15 @@
 } from '@fescuespool/coordination';
 import {
   Cell,
+  CrashDetector,
   createPlacementPolicy,
   JoinableRunRegistry,
   MEMBER_STATE,
   MIN_VERIFY_AGE_MS,
-  PoisonRegistry,
   POLL_INTERVAL_MS,
   rankMembers,
 } from '@fescuespool/coordination';
-import type {RegisterMessage} from '@fescuespool/protocol';
+import type {PoisonAnnouncement, RegisterMessage} from '@fescuespool/protocol';
 import {PEER_METHOD, REQUEST_LIST_SCHEMA} from '@fescuespool/protocol';
 import type {ActiveVersion, VmListing} from '@fescuespool/state';
 import {SERVICE_KIND, VM_STATE} from '@fescuespool/state';
@@ -39,7 +39,7 @@
  * daemon dispatches.
  */
 export class DispatcherRole {
-  readonly poisonRegistry: PoisonRegistry;
+  readonly crashes: CrashDetector;
   private readonly cells = new Map<string, Cell>();
   private readonly joinableRuns = new Map<string, JoinableRunRegistry>();
   private readonly policy: PlacementPolicy;
@@ -61,10 +61,16 @@
       requestIds: readonly string[],
     ) => string[],
   ) {
-    this.poisonRegistry = new PoisonRegistry(
-      context.clock,
-      (fingerprint, deaths) => this.announcePoison(fingerprint, deaths),
-    );
+    this.crashes = new CrashDetector(context.clock, {
+      onDeath: (fingerprint, deaths) => {
+        context.log.warn('poison_suspected', {fingerprint, deaths});
+        this.announcePoison({counts: {[fingerprint]: deaths}, causes: []});
+      },
+      onCause: (cause, deaths) => {
+        context.log.warn('crash_cause_found', {part: cause.part, deaths});
+        this.announcePoison({counts: {}, causes: [cause]});
+      },
+    });
     this.policy = createPlacementPolicy(context.settings.placementPolicy);
     this.pollTimer = setInterval(() => void this.pollLoads(), POLL_INTERVAL_MS);
     this.verifyTimer = setInterval(
@@ -149,10 +155,8 @@
     this.cells.clear();
   }
 
-  private announcePoison(fingerprint: string, deaths: number): void {
-    const {membership, network, settings, log} = this.context;
-    log.warn('poison_suspected', {fingerprint, deaths});
-    const params = {counts: {[fingerprint]: deaths}};
+  private announcePoison(params: PoisonAnnouncement): void {
+    const {membership, network, settings} = this.context;
     for (const id of membership.eligibleIds()) {
       const member = membership.find(id);
       if (!member || id === settings.memberId) continue;
@@ -175,7 +179,7 @@
         service,
         clock,
         policy: this.policy,
-        poison: this.poisonRegistry,
+        crashes: this.crashes,
         joinableRuns: this.joinableRunsOf(service),
         maxWaiting:
           active?.cfg.services[service]?.maxWaiting ?? DEFAULT_MAX_WAITING,
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -107,7 +107,10 @@
     })),
     [PEER_METHOD.POISON_ANNOUNCE]: withValidatedParams(
       POISON_ANNOUNCE_SCHEMA,
-      message => dispatcher.poisonRegistry.merge(message.counts),
+      ({counts, causes}) => {
+        dispatcher.crashes.mergeDeathCounts(counts);
+        dispatcher.crashes.adoptCauses(causes);
+      },
     ),
     [PEER_METHOD.STATUS_CELLS]: () => dispatcher.cellStatuses(),
     [PEER_METHOD.TRACE]: withValidatedParams(REQUEST_REF_SCHEMA, ref => [
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -134,7 +134,7 @@
     fingerprint: string,
     {promptParts}: RequestHead,
   ): void {
-    const evidence = {fingerprint, promptParts};
+    const evidence = {fingerprint, parts: promptParts};
     if (!this.gateway.crashGuard.isSuspected(evidence)) return;
     throw new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
   }
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -1,11 +1,7 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import type {CrashCause} from '@fescuespool/coordination';
-import {
-  CrashCauseTracker,
-  POISON_DEATH_THRESHOLD,
-  PoisonRegistry,
-} from '@fescuespool/coordination';
+import type {CrashCause, CrashEvidence} from '@fescuespool/coordination';
+import {CrashDetector, POISON_DEATH_THRESHOLD} from '@fescuespool/coordination';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
 import {
@@ -17,20 +13,12 @@
 import type {DeathReport} from './messages.js';
 import {CRASH_CAUSES_SCHEMA} from './messages.js';
 
-/** What a request is judged by: its fingerprint and the parts of its prompt. */
-export interface CrashEvidence {
-  readonly fingerprint: string;
-  readonly promptParts: readonly string[];
-}
-
 /**
- * Recognizes requests that crash the upstreams that run them, by their whole
- * content or by one part of their prompt. All members share the evidence, since
- * such requests may arrive at any of them.
+ * Shares the evidence of requests that crash upstreams with the other members,
+ * since such requests may arrive at any of them.
  */
 export class CrashGuard {
-  private readonly poisonRegistry: PoisonRegistry;
-  private readonly causeTracker: CrashCauseTracker;
+  private readonly detector: CrashDetector;
   private readonly abortController = new AbortController();
   private pullCount = 0;
 
@@ -40,55 +28,51 @@
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
   ) {
-    this.poisonRegistry = new PoisonRegistry(clock, (fingerprint, deaths) => {
-      const event =
-        deaths < POISON_DEATH_THRESHOLD ? 'death_recorded' : 'crash_suspected';
-      log.warn(event, {fingerprint, deaths});
-    });
-    this.causeTracker = new CrashCauseTracker(clock, (cause, deaths) => {
-      log.warn('crash_cause_found', {part: cause.part, deaths});
-      this.notifyOthers(GATEWAY_METHOD.CRASH_CAUSES_FOUND, {causes: [cause]});
+    this.detector = new CrashDetector(clock, {
+      onDeath: (fingerprint, deaths) => {
+        const isSuspected = deaths >= POISON_DEATH_THRESHOLD;
+        const event = isSuspected ? 'crash_suspected' : 'death_recorded';
+        log.warn(event, {fingerprint, deaths});
+      },
+      onCause: (cause, deaths) => {
+        log.warn('crash_cause_found', {part: cause.part, deaths});
+        const params = {causes: [cause]};
+        this.notifyOthers(GATEWAY_METHOD.CRASH_CAUSES_FOUND, params);
+      },
     });
     void this.pullPeriodically();
   }
 
   /** Causes in force at this member. */
   get causes(): CrashCause[] {
-    return this.causeTracker.causes;
+    return this.detector.causes;
   }
 
   /** Whether a request is to be refused because it would crash its upstream. */
-  isSuspected({fingerprint, promptParts}: CrashEvidence): boolean {
-    return (
-      this.poisonRegistry.isSuspected(fingerprint) || this.hasCause(promptParts)
-    );
+  isSuspected(evidence: CrashEvidence): boolean {
+    return this.detector.isSuspected(evidence);
   }
 
   /** Whether one of the prompt parts is known to crash upstreams. */
   hasCause(promptParts: readonly string[]): boolean {
-    return this.causeTracker.findCause(promptParts) !== null;
+    return this.detector.hasCause(promptParts);
   }
 
   /**
-   * Records at all members that an upstream died while it ran a request. A
-   * request whose response had begun does not count against its prompt parts.
+   * Records at all members that an upstream died while it ran a request. If the
+   * response had begun, the evidence must have no prompt parts.
    */
-  announceDeath(
-    instanceId: string,
-    {fingerprint, promptParts}: CrashEvidence,
-    hasBegun: boolean,
-  ): void {
-    const suspectParts = hasBegun ? [] : [...promptParts];
-    const report = {fingerprint, instanceId, suspectParts};
-    this.recordDeath(report);
+  announceDeath(instanceId: string, evidence: CrashEvidence): void {
+    this.detector.recordDeath(instanceId, evidence);
+    const {fingerprint, parts} = evidence;
+    const report = {fingerprint, instanceId, suspectParts: [...parts]};
     this.notifyOthers(GATEWAY_METHOD.DEATH, report);
   }
 
-  /** Records a death that this or another member has found. */
+  /** Records a death that another member has found. */
   recordDeath({fingerprint, instanceId, suspectParts}: DeathReport): void {
-    this.poisonRegistry.recordDeath(fingerprint, instanceId);
-    const suspect = {content: fingerprint, parts: suspectParts};
-    this.causeTracker.recordDeath(instanceId, suspect);
+    const evidence = {fingerprint, parts: suspectParts};
+    this.detector.recordDeath(instanceId, evidence);
   }
 
   /**
@@ -103,7 +87,7 @@
 
   /** Clears prompt parts; returns those that were suspected. */
   recordSurvival(parts: readonly string[]): string[] {
-    const cleared = this.causeTracker.recordSurvival(parts);
+    const cleared = this.detector.recordSurvival(parts);
     if (cleared.length > 0) {
       this.log.info('crash_parts_cleared', {parts: cleared.join(',')});
     }
@@ -112,7 +96,7 @@
 
   /** Adopts causes that another member has found. */
   adoptCauses(causes: readonly CrashCause[]): void {
-    this.causeTracker.adopt(causes);
+    this.detector.adoptCauses(causes);
   }
 
   /** Stops the periodic exchange. */
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -349,9 +349,8 @@
     });
     metrics.recordProbe(this.routeLabels, result, hasBegun);
     if (result !== PROBE_RESULT.DIED) return;
-    const {promptParts} = head;
-    const evidence = {fingerprint, promptParts};
-    crashGuard.announceDeath(upstream.instanceId, evidence, hasBegun);
+    const parts = hasBegun ? [] : head.promptParts;
+    crashGuard.announceDeath(upstream.instanceId, {fingerprint, parts});
   }
 
   private reportFailure(outcome: SendOutcome, runMs: number): void {
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -3,6 +3,7 @@
   MEMBER_STATE,
   REFUSAL_REASON,
   RELEASE_KIND,
+  MAX_CRASH_CAUSES,
 } from '@fescuespool/coordination';
 import type {RunningRequest} from '@fescuespool/coordination';
 import type {VmListing} from '@fescuespool/state';
@@ -166,11 +167,21 @@
 /** Schema of a request for the state of a claim. */
 export const CLAIM_REF_SCHEMA = z.object({nonce: SHORT_TEXT});
 
-/** Schema of the upstream deaths that are counted for request fingerprints. */
+/**
+ * Schema of upstream deaths counted by request fingerprint, and of prompt parts
+ * that crash upstreams.
+ */
 export const POISON_ANNOUNCE_SCHEMA = z.object({
   counts: z.record(z.string(), COUNT),
+  causes: z
+    .array(z.object({part: SHORT_TEXT, remainingMs: z.number()}))
+    .max(MAX_CRASH_CAUSES)
+    .default([]),
 });
 
+/** Announcement of requests that crash upstreams. */
+export type PoisonAnnouncement = z.infer<typeof POISON_ANNOUNCE_SCHEMA>;
+
 /** HTTP response that the holder of a claim keeps for repeated requests. */
 export interface CachedResponse {
   readonly status: number;
