Treat a stream that ends with its connection before any event as broken

A stream may come without length or chunks and end with its connection. If the upstream closed it before the first event, as one that crashes does, the gateway sent the caller 200 and an empty stream: an answer that had broken off was a complete success, and the request counted as proof that its prompt parts crash nothing. Such a response is now broken, so that a resumable stream is repeated and any other gets 502.

broken_responses.test.ts: two of its seven tests failed before. The others show what holds already: streams that end inside an event, and bytes without end in a head, a body and an event. 45 tests pass with those of the gateway and the transport.

--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -99,6 +99,10 @@
     // A stream may end without the blank line that completes its last event;
     // that event has not been forwarded.
     if (splitter.pendingBytes > 0) return createResult('broken');
+    // An upstream that crashes before its first event ends its connection too.
+    if (eventCount === 0 && exchange.isDelimitedByClose) {
+      return createResult('broken');
+    }
     if (!progress.hasSentHead) options.writeHead();
     progress.hasSentHead = true;
     return createResult('complete');
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -38,6 +38,11 @@
    * then looks complete although it is not.
    */
   readonly hasFailed: () => boolean;
+  /**
+   * Whether only the end of the connection delimits the response, so that its
+   * loss may look like an end.
+   */
+  readonly isDelimitedByClose: boolean;
 }
 
 function createRequest(call: HttpCall): http.ClientRequest {
@@ -103,7 +108,8 @@
     });
     req.on('response', res => {
       stopTimers();
-      if (isDelimitedByClose(res)) {
+      const endsWithConnection = isDelimitedByClose(res);
+      if (endsWithConnection) {
         // Node.js reports a reset that follows the last bytes as a normal end;
         // only the missing remote address shows that the connection was lost.
         res.socket.prependOnceListener('end', () => {
@@ -111,7 +117,12 @@
         });
       }
       resolve(
-        ok({res, abort: () => req.destroy(), hasFailed: () => hasFailed}),
+        ok({
+          res,
+          abort: () => req.destroy(),
+          hasFailed: () => hasFailed,
+          isDelimitedByClose: endsWithConnection,
+        }),
       );
     });
     req.end(call.body);
