Ask a gateway of another zone for crash causes, and show which are known

A gateway that was cut off with its whole zone asked the others in the order of the member list; on a deployment with ten gateways a zone it could ask nine for nothing first. It now asks a random one of another zone, where there is one, once a second.

--- a/packages/coordination/src/crash_cause_tracker.ts
+++ b/packages/coordination/src/crash_cause_tracker.ts
@@ -111,15 +111,18 @@
     return this.findActive(parts, now);
   }
 
-  /** Adopts causes that another member has found. */
-  adopt(causes: readonly CrashCause[]): void {
+  /** Adopts causes that another member has found; returns the new ones. */
+  adopt(causes: readonly CrashCause[]): CrashCause[] {
     const now = this.clock.monotonicMs();
-    for (const {part, remainingMs} of causes) {
-      if (this.findActive([part], now)) continue;
+    const unknown = causes.filter(
+      ({part}) => this.findActive([part], now) === null,
+    );
+    for (const {part, remainingMs} of unknown) {
       const ttlMs = Math.max(CRASH_CAUSE_TTL_MS, remainingMs);
       this.records.set(part, {untilMs: now + remainingMs, ttlMs});
       this.removeExplained(death => hasPart(death, part));
     }
+    return unknown;
   }
 
   private findActive(parts: readonly string[], now: number): string | null {
--- a/packages/coordination/src/crash_detector.ts
+++ b/packages/coordination/src/crash_detector.ts
@@ -74,8 +74,8 @@
     this.poison.merge(counts);
   }
 
-  /** Adopts the causes that another member has found. */
-  adoptCauses(causes: readonly CrashCause[]): void {
-    this.tracker.adopt(causes);
+  /** Adopts causes that another member has found; returns the new ones. */
+  adoptCauses(causes: readonly CrashCause[]): CrashCause[] {
+    return this.tracker.adopt(causes);
   }
 }
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -12,6 +12,7 @@
 import type {MemberDirectory} from './member_directory.js';
 import type {DeathReport} from './messages.js';
 import {CRASH_CAUSES_SCHEMA} from './messages.js';
+import type {GatewayMember} from './types.js';
 
 /**
  * Shares the evidence of requests that crash upstreams with the other members,
@@ -20,13 +21,13 @@
 export class CrashGuard {
   private readonly detector: CrashDetector;
   private readonly abortController = new AbortController();
-  private pullCount = 0;
 
   constructor(
     clock: Clock,
     private readonly log: Logger,
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
+    private readonly random: () => number,
   ) {
     this.detector = new CrashDetector(clock, {
       onDeath: (fingerprint, deaths) => {
@@ -96,7 +97,9 @@
 
   /** Adopts causes that another member has found. */
   adoptCauses(causes: readonly CrashCause[]): void {
-    this.detector.adoptCauses(causes);
+    for (const {part} of this.detector.adoptCauses(causes)) {
+      this.log.warn('crash_cause_adopted', {part});
+    }
   }
 
   /** Stops the periodic exchange. */
@@ -111,8 +114,8 @@
   }
 
   /**
-   * Asks the other members in turn for their causes: a member that has just
-   * started or was cut off has missed the notices.
+   * Asks other members for their causes: one that has just started or was cut
+   * off has missed the notices.
    */
   private async pullPeriodically(): Promise<void> {
     const {signal} = this.abortController;
@@ -123,10 +126,7 @@
   }
 
   private async pull(): Promise<void> {
-    const others = this.members.otherMembers.filter(
-      ({id}) => !this.members.isSuspected(id),
-    );
-    const member = others[this.pullCount++ % Math.max(1, others.length)];
+    const member = this.pickPeer();
     if (!member) return;
     const answer = await callPeer(
       this.network,
@@ -142,4 +142,18 @@
       this.log.info('crash_causes_not_pulled', {peer: member.id, message});
     }
   }
+
+  /**
+   * A random member that is not suspected, in another zone if there is one: the
+   * members of a zone are cut off together.
+   */
+  private pickPeer(): GatewayMember | undefined {
+    const {localMember, otherMembers} = this.members;
+    const reachable = otherMembers.filter(
+      ({id}) => !this.members.isSuspected(id),
+    );
+    const distant = reachable.filter(({zone}) => zone !== localMember.zone);
+    const candidates = distant.length > 0 ? distant : reachable;
+    return candidates[Math.floor(this.random() * candidates.length)];
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,7 +126,7 @@
       members,
       dispatchClient,
       quotaLedger,
-      crashGuard: new CrashGuard(clock, log, members, network),
+      crashGuard: new CrashGuard(clock, log, members, network, Math.random),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
         MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
@@ -317,6 +317,7 @@
     }
     gauge('config_version', '', this.configState.current?.version ?? 0);
     gauge('members_suspected', '', this.members.suspectedMembers.length);
+    gauge('crash_causes', '', this.context.crashGuard.causes.length);
     gauge('usage_hub', '', this.members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
   }
 }
