Let streams pause for as long as their route accepts

A resumable stream was taken for stalled after 1.2 s without an event, also on a route whose callers accept longer gaps: a slow but sound stream was cut and run again elsewhere. The time is now at least three times the longest gap of the route, below the eight gaps after which callers leave. On the present deployments (400 ms) it stays at 1.2 s.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -187,10 +187,13 @@
 export const MIN_CALL_START_TIMEOUT_MS = 250;
 
 /**
- * Time in milliseconds without an event after which a resumable stream is
- * resumed at another upstream.
+ * Shortest time in milliseconds without an event after which a resumable stream
+ * is resumed at another upstream.
  */
-export const STREAM_EVENT_TIMEOUT_MS = 1_200;
+export const MIN_STREAM_EVENT_TIMEOUT_MS = 1_200;
+
+/** That time as a multiple of the longest gap that the route accepts. */
+export const EVENT_GAP_TIMEOUT_FACTOR = 3;
 
 /**
  * Retry-After in milliseconds while the configuration is missing or stale, or
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -4,11 +4,12 @@
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
 import {
+  EVENT_GAP_TIMEOUT_FACTOR,
   MAX_ZONE_PROBES,
   MIN_CALL_START_TIMEOUT_MS,
+  MIN_STREAM_EVENT_TIMEOUT_MS,
   MIN_STREAM_START_TIMEOUT_MS,
   START_TIMEOUT_FACTOR,
-  STREAM_EVENT_TIMEOUT_MS,
 } from './constants.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {RouteLabels} from './gateway_metrics.js';
@@ -17,7 +18,7 @@
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
-import type {UpstreamResponseHead} from './types.js';
+import type {Route, UpstreamResponseHead} from './types.js';
 import type {BufferedResponse, SendResult} from './upstream_send.js';
 import {
   acceptsConnections,
@@ -231,7 +232,7 @@
   }
 
   private async relay(exchange: HttpExchange): Promise<SendOutcome> {
-    const {res} = this.request;
+    const {res, admission} = this.request;
     const {wireFormat, clock} = this.gateway;
     const result = await relayStream(exchange, {
       res,
@@ -245,7 +246,7 @@
       },
       onFirstEvent: () => this.reportStart(this.reportedLoad),
       onSurvival: () => this.recordSurvival(),
-      idleTimeoutMs: this.mayRepeat ? STREAM_EVENT_TIMEOUT_MS : null,
+      idleTimeoutMs: this.mayRepeat ? eventTimeoutMs(admission.route) : null,
     });
     return this.handleRelayResult(exchange, result);
   }
@@ -379,3 +380,11 @@
     req.headers['transfer-encoding'] !== undefined
   );
 }
+
+/** Milliseconds without an event after which a stream counts as stalled. */
+function eventTimeoutMs({maxEventGapMs}: Route): number {
+  return Math.max(
+    MIN_STREAM_EVENT_TIMEOUT_MS,
+    EVENT_GAP_TIMEOUT_FACTOR * (maxEventGapMs ?? 0),
+  );
+}
