End a stream that only sends comments

A stalled upstream that keeps its stream open with comments now and then was never taken for stalled: each comment counted as an event and restarted the timeout, so that a resumable stream ran until the limit of its route. Only events with an id or data count now, also for the start of a response. An event just before a comment in one chunk is no longer forgotten when the stream is resumed, which would have sent it twice.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -1,6 +1,7 @@
 import {MAX_EVENT_BYTES} from './constants.js';
 
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
+const DATA_LINE = /^data:/m;
 const LF_TERMINATOR = Buffer.from('\n\n');
 const CRLF_TERMINATOR = Buffer.from('\r\n\r\n');
 
@@ -8,6 +9,8 @@
 export interface StreamEvent {
   readonly bytes: Buffer;
   readonly id: string | null;
+  /** Whether it is part of the answer, not a comment that keeps it open. */
+  readonly hasContent: boolean;
 }
 
 /** Splits a byte stream into complete server-sent events. */
@@ -29,7 +32,7 @@
     const events: StreamEvent[] = [];
     for (let end = endOfEvent(rest); end > 0; end = endOfEvent(rest)) {
       const bytes = rest.subarray(0, end);
-      events.push({bytes, id: idOf(bytes)});
+      events.push(parseEvent(bytes));
       rest = rest.subarray(end);
     }
     if (rest.length > MAX_EVENT_BYTES) throw new RangeError('event too long');
@@ -53,6 +56,8 @@
   return crlf + CRLF_TERMINATOR.length;
 }
 
-function idOf(event: Buffer): string | null {
-  return ID_LINE.exec(event.toString('latin1'))?.[1] ?? null;
+function parseEvent(bytes: Buffer): StreamEvent {
+  const text = bytes.toString('latin1');
+  const id = ID_LINE.exec(text)?.[1] ?? null;
+  return {bytes, id, hasContent: id !== null || DATA_LINE.test(text)};
 }
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -63,6 +63,18 @@
     eventGapMs:
       eventCount < 2 ? null : (lastAtMs - firstAtMs) / (eventCount - 1),
   });
+  // Comments are forwarded, but a stalled upstream may send them for ever.
+  const recordEvents = (count: number): void => {
+    if (count === 0) return;
+    timer?.refresh();
+    lastAtMs = nowMs();
+    if (eventCount === 0) {
+      firstAtMs = lastAtMs;
+      options.onFirstEvent();
+    }
+    if (lastAtMs - firstAtMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
+    eventCount += count;
+  };
   if (idleTimeoutMs !== null) {
     timer = setTimeout(() => {
       isIdle = true;
@@ -75,19 +87,13 @@
         .push(chunk)
         .filter(event => isAfter(event, progress.lastEventId));
       if (newEvents.length === 0) continue;
-      timer?.refresh();
-      lastAtMs = nowMs();
-      if (eventCount === 0) {
-        firstAtMs = lastAtMs;
-        options.onFirstEvent();
-      }
-      if (lastAtMs - firstAtMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
-      eventCount += newEvents.length;
+      recordEvents(newEvents.filter(event => event.hasContent).length);
       if (!progress.hasSentHead) {
         options.writeHead();
         progress.hasSentHead = true;
       }
-      progress.lastEventId = newEvents.at(-1)?.id ?? progress.lastEventId;
+      for (const {id} of newEvents)
+        progress.lastEventId = id ?? progress.lastEventId;
       const bytes = Buffer.concat(newEvents.map(event => event.bytes));
       if (!(await writeWithBackpressure(res, bytes))) {
         return createResult('caller_gone');
