Create a claim anew if its released one is gone before the write

The entry releases its claim and asks for it again at once; where the release deleted the claim between the read and the write, the write found none and the request was refused, truly but needlessly.

--- a/packages/state/src/claim_store.test.ts
+++ b/packages/state/src/claim_store.test.ts
@@ -60,4 +60,17 @@
       {numRuns: 200, seed: SEED},
     );
   });
+
+  it('creates a claim anew if its released one is deleted before the write', async () => {
+    const store = createMemoryStore(() => 'works');
+    const holder = {memberId: 'm', incarnation: 1};
+    const claims = new ClaimStore(store, holder);
+    const first = await claims.acquire(REQUEST);
+    const second = await claims.acquire(REQUEST);
+    if (first.outcome !== CLAIM_OUTCOME.ACQUIRED) throw new Error('not held');
+    if (second.outcome !== CLAIM_OUTCOME.HELD) throw new Error('not refused');
+    await claims.release(REQUEST, first.claim);
+    const third = await claims.acquire(REQUEST, second.held);
+    expect(third.outcome).toBe(CLAIM_OUTCOME.ACQUIRED);
+  });
 });
--- a/packages/state/src/claim_store.ts
+++ b/packages/state/src/claim_store.ts
@@ -94,6 +94,8 @@
       return {outcome: CLAIM_OUTCOME.ACQUIRED, claim, revision};
     }
     const {current} = written.value;
+    // The holder deletes a released claim, perhaps since it was read.
+    if (!current && released) return this.acquire(request);
     if (!current) {
       const message =
         'the key of the claim was deleted or expired during the write';
