--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -102,6 +102,7 @@
 
   /** Replaces the recorded runs of a member by the ones that it reports. */
   registerRuns(message: RegisterMessage): void {
+    this.crashes.adoptCauses(message.causes);
     const cell = this.cellOf(message.service);
     cell.register(message.memberId, message.running);
   }
--- a/packages/daemon/src/grant_client.ts
+++ b/packages/daemon/src/grant_client.ts
@@ -249,7 +249,8 @@
     const running = [...this.activeRuns.values()].filter(
       run => run.request.service === service,
     );
-    const message = {service, memberId, running};
+    const {causes} = this.localDispatcher().crashes;
+    const message = {service, memberId, running, causes};
     if (this.isLocalMember(dispatcher))
       this.localDispatcher().registerRuns(message);
     else this.context.network.notify(dispatcher, PEER_METHOD.REGISTER, message);
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -5,7 +5,7 @@
   RELEASE_KIND,
   MAX_CRASH_CAUSES,
 } from '@fescuespool/coordination';
-import type {RunningRequest} from '@fescuespool/coordination';
+import type {CrashCause, RunningRequest} from '@fescuespool/coordination';
 import type {VmListing} from '@fescuespool/state';
 import {VM_STATE} from '@fescuespool/state';
 import {z} from 'zod';
@@ -106,18 +106,29 @@
   computedPromptTokens: COUNT.nullable(),
 });
 
+/** Prompt parts that crash upstreams; members of older versions send none. */
+const CRASH_CAUSES = z
+  .array(z.object({part: SHORT_TEXT, remainingMs: z.number()}))
+  .max(MAX_CRASH_CAUSES)
+  .default([]);
+
 /** Schema of the registration of running requests with a new dispatcher. */
 export const REGISTER_SCHEMA = z.object({
   service: SHORT_TEXT,
   memberId: SHORT_TEXT,
   running: z.array(RUNNING_REQUEST).max(MAX_LIST_LENGTH),
+  causes: CRASH_CAUSES,
 });
 
-/** Running requests that an entry registers with a new dispatcher. */
+/**
+ * Running requests that an entry registers with a new dispatcher, and the crash
+ * causes that it knows.
+ */
 export interface RegisterMessage {
   readonly service: string;
   readonly memberId: string;
   readonly running: readonly RunningRequest[];
+  readonly causes: readonly CrashCause[];
 }
 
 /** Schema of a running request that is replicated to a successor. */
@@ -173,10 +184,7 @@
  */
 export const POISON_ANNOUNCE_SCHEMA = z.object({
   counts: z.record(z.string(), COUNT),
-  causes: z
-    .array(z.object({part: SHORT_TEXT, remainingMs: z.number()}))
-    .max(MAX_CRASH_CAUSES)
-    .default([]),
+  causes: CRASH_CAUSES,
 });
 
 /** Announcement of requests that crash upstreams. */
