Keep the request that crashed an upstream among many in flight

A death kept at most eight requests that may have caused it, in the order of their reports. On upstreams with more slots the one that did could be the ninth, and its part would never be blamed. Up to 64 are kept now. To keep the search cheap, it runs only when a death has settled or gained a report, and once more for what a found cause does not explain.

crash_cause_tracker.test.ts: 40 other requests in flight at each death, a report that comes late, two causes at once.

--- a/packages/coordination/src/constants.ts
+++ b/packages/coordination/src/constants.ts
@@ -166,15 +166,13 @@
 /** Maximum number of deaths kept. */
 export const MAX_UPSTREAM_DEATHS = 64;
 /** Maximum number of suspects kept per death. */
-export const MAX_SUSPECTS_PER_DEATH = 8;
+export const MAX_SUSPECTS_PER_DEATH = 64;
 /** Time in milliseconds for which a new cause is in force. */
 export const CRASH_CAUSE_TTL_MS = 300_000;
 /** Maximum time in milliseconds for which a repeated cause is in force. */
 export const MAX_CRASH_CAUSE_TTL_MS = 3_600_000;
 /** Maximum number of causes kept. */
 export const MAX_CRASH_CAUSES = 256;
-/** Shortest interval in milliseconds of the search for a cause. */
-export const CRASH_EVALUATION_INTERVAL_MS = 50;
 /**
  * Time in milliseconds for which a response must go on after its first event
  * until its request is cleared of crashing its upstream.
--- a/packages/coordination/src/crash_cause_tracker.test.ts
+++ b/packages/coordination/src/crash_cause_tracker.test.ts
@@ -92,6 +92,40 @@
     expect(tracker.findCause(['rare'])).toBeNull();
   });
 
+  it('finds the cause although many other requests were in flight', () => {
+    for (const id of ['i-a', 'i-b', 'i-c']) {
+      for (let i = 0; i < 40; i++) {
+        const own = `${id}-${i}`;
+        tracker.recordDeath(id, {content: own, parts: [own]});
+      }
+      tracker.recordDeath(id, {content: id, parts: ['bad', id]});
+      nowMs += DEATH_EPISODE_MS;
+    }
+    settle();
+    expect(tracker.findCause(['bad'])).toBe('bad');
+  });
+
+  it('finds a cause whose last report comes late', () => {
+    die('bad', '1');
+    die('bad', '2');
+    tracker.recordDeath('i-9', {content: 'x', parts: ['other']});
+    settle();
+    expect(tracker.findCause(['bad'])).toBeNull();
+    tracker.recordDeath('i-9', {content: 'y', parts: ['bad', '3']});
+    expect(tracker.findCause(['bad'])).toBe('bad');
+  });
+
+  it('finds two causes among the same deaths', () => {
+    for (const own of ['1', '2', '3']) {
+      die('bad', own);
+      die('worse', own);
+    }
+    settle();
+    tracker.findCause([]);
+    expect(tracker.findCause(['bad'])).toBe('bad');
+    expect(tracker.findCause(['worse'])).toBe('worse');
+  });
+
   it('counts a death once that several entries report', () => {
     for (let i = 0; i < 6; i++) {
       const content = `c${i}`;
--- a/packages/coordination/src/crash_cause_tracker.ts
+++ b/packages/coordination/src/crash_cause_tracker.ts
@@ -2,7 +2,6 @@
 import {LRUCache} from 'lru-cache';
 import {
   CRASH_CAUSE_TTL_MS,
-  CRASH_EVALUATION_INTERVAL_MS,
   DEATH_REPORT_SPREAD_MS,
   DEATH_SETTLE_MS,
   MAX_CRASH_CAUSE_TTL_MS,
@@ -36,7 +35,8 @@
   });
   /** Upstreams whose recent death a known cause explains. */
   private readonly explainedDeaths: LRUCache<string, true>;
-  private lastEvaluationMs = -Infinity;
+  /** Newest death of the last evaluation, to repeat it only with new evidence. */
+  private lastEvaluated: UpstreamDeath | null = null;
 
   constructor(
     private readonly clock: Clock,
@@ -81,8 +81,9 @@
         now - death.atMs < DEATH_REPORT_SPREAD_MS,
     );
     if (known) {
-      if (known.suspects.length < MAX_SUSPECTS_PER_DEATH)
-        known.suspects.push(suspect);
+      if (known.suspects.length >= MAX_SUSPECTS_PER_DEATH) return;
+      known.suspects.push(suspect);
+      this.lastEvaluated = null;
       return;
     }
     this.deaths.push({upstreamId, atMs: now, suspects: [suspect]});
@@ -133,8 +134,6 @@
 
   private evaluate(now: number): void {
     if (this.deaths.length === 0) return;
-    if (now - this.lastEvaluationMs < CRASH_EVALUATION_INTERVAL_MS) return;
-    this.lastEvaluationMs = now;
     this.deaths = this.deaths.filter(
       ({atMs}) => now - atMs < UPSTREAM_DEATH_TTL_MS,
     );
@@ -142,8 +141,13 @@
     const settled = this.deaths.filter(
       ({atMs}) => now - atMs >= DEATH_SETTLE_MS,
     );
+    const newest = settled.at(-1) ?? null;
+    if (newest === this.lastEvaluated) return;
+    this.lastEvaluated = newest;
     const part = findCrashCause(settled);
     if (part === null) return;
+    // The deaths that this cause does not explain may have another one.
+    this.lastEvaluated = null;
     this.addCause(part, settled.filter(death => hasPart(death, part)).length);
   }
 
