--- a/packages/daemon/src/dispatcher_role.ts
+++ b/packages/daemon/src/dispatcher_role.ts
@@ -1,5 +1,6 @@
 import type {
   CellStatus,
+  CrashCause,
   GrantAnswer,
   GrantRequest,
   Member,
@@ -102,11 +103,18 @@
 
   /** Replaces the recorded runs of a member by the ones that it reports. */
   registerRuns(message: RegisterMessage): void {
-    this.crashes.adoptCauses(message.causes);
+    this.adoptCrashCauses(message.causes);
     const cell = this.cellOf(message.service);
     cell.register(message.memberId, message.running);
   }
 
+  /** Adopts prompt parts that crash upstreams, as another member has found. */
+  adoptCrashCauses(causes: readonly CrashCause[]): void {
+    for (const {part} of this.crashes.adoptCauses(causes)) {
+      this.context.log.warn('crash_cause_adopted', {part});
+    }
+  }
+
   /** Records a joinable run that the current dispatcher replicates here. */
   recordReplica(run: RunningRequest): void {
     this.joinableRunsOf(run.request.service).record(run);
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -109,7 +109,7 @@
       POISON_ANNOUNCE_SCHEMA,
       ({counts, causes}) => {
         dispatcher.crashes.mergeDeathCounts(counts);
-        dispatcher.crashes.adoptCauses(causes);
+        dispatcher.adoptCrashCauses(causes);
       },
     ),
     [PEER_METHOD.STATUS_CELLS]: () => dispatcher.cellStatuses(),
