Show what upstreams say of their rate limits

Nothing in logs or metrics told whether a gateway had read an upstream's limit, whether each kept to it alone, or which dispatcher had granted the requests, so the three hypotheses of the incident could not be told apart.

The adapter decodes Server-Limit, each gateway remembers what it was told (upstream_limit_changed, gauge upstreams_limited), and placed says which gateway granted and the limit that this one had been told. Nothing acts on it yet.

--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -121,6 +121,11 @@
     }
   }
 
+  /** Id of the member that granted a running request; undefined without one. */
+  granterOf(requestId: string): string | undefined {
+    return this.grantedRuns.get(requestId)?.grantedBy.id;
+  }
+
   /** Stops the periodic run reports. */
   close(): void {
     clearInterval(this.timer);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import {QuotaLedger} from '@fescuespool/scheduling';
+import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
 import {PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
@@ -26,6 +26,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
+import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
@@ -78,6 +79,7 @@
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
+  private readonly upstreamLimits = new UpstreamLimits();
   private readonly configuredListeners = new Set<() => void>();
   private isStopping = false;
 
@@ -127,6 +129,12 @@
       dispatchClient,
       quotaLedger,
       crashGuard: new CrashGuard(clock, log, members, network, Math.random),
+      limitObserver: new LimitObserver(
+        clock,
+        log,
+        settings.memberId,
+        this.upstreamLimits,
+      ),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
         MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
@@ -318,6 +326,7 @@
     gauge('config_version', '', this.configState.current?.version ?? 0);
     gauge('members_suspected', '', this.members.suspectedMembers.length);
     gauge('crash_causes', '', this.context.crashGuard.causes.length);
+    gauge('upstreams_limited', '', this.context.limitObserver.limitedCount);
     gauge('usage_hub', '', this.members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
   }
 }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -5,6 +5,7 @@
 import type {CrashGuard} from './crash_guard.js';
 import type {DispatchClient} from './dispatch_client.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import type {LimitObserver} from './limit_observer.js';
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
 import type {WireFormat} from './types.js';
@@ -22,6 +23,7 @@
   readonly dispatchClient: DispatchClient;
   readonly quotaLedger: QuotaLedger;
   readonly crashGuard: CrashGuard;
+  readonly limitObserver: LimitObserver;
   /** Pool of keep-alive connections to upstreams. */
   readonly upstreamAgent: Agent;
   readonly upstreams: UpstreamRegistry;
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -16,9 +16,9 @@
   sendBufferedResponse,
 } from './open_request.js';
 import {pickTarget} from './route_table.js';
+import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
 import type {GatewayRefusal} from './types.js';
-import type {SendOutcome} from './upstream_attempt.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import type {BufferedResponse} from './upstream_send.js';
 
@@ -165,6 +165,7 @@
     }
     const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} =
       answer.placement;
+    const {dispatchClient, limitObserver} = this.gateway;
     this.gateway.log.info('placed', {
       id: head.requestId,
       service: this.service,
@@ -174,6 +175,8 @@
       isOnTrial,
       expectedStartMs: Math.round(expectedStartMs),
       send: this.sends + 1,
+      grantedBy: dispatchClient.granterOf(head.requestId),
+      limitPerS: limitObserver.limitToldBy(upstream) ?? undefined,
     });
     return answer.placement;
   }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -108,6 +108,11 @@
   /** Whether the address now belongs to another upstream instance. */
   readonly isInstanceMismatch: boolean;
   readonly load: ReportedLoad | null;
+  /**
+   * Requests per second that the upstream accepts from all gateways together;
+   * null if it names no limit.
+   */
+  readonly rateLimitPerS: number | null;
 }
 
 /** Converts between the headers of a wire format and the gateway's types. */
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,5 +1,5 @@
 import type {ValueOf} from '@fescuespool/common';
-import type {Placement, RunEnd} from '@fescuespool/scheduling';
+import type {Placement} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
@@ -16,10 +16,12 @@
 import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import type {SendOutcome} from './send_outcome.js';
+import {COMPLETED, failedRun, notRun} from './send_outcome.js';
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
 import type {Route, UpstreamResponseHead} from './types.js';
-import type {BufferedResponse, SendResult} from './upstream_send.js';
+import type {SendResult} from './upstream_send.js';
 import {
   acceptsConnections,
   bufferResponse,
@@ -40,53 +42,6 @@
   ZONE_UNREACHABLE: 'zone_unreachable',
 } as const;
 
-/** Outcome of one send to an upstream. */
-export interface SendOutcome {
-  readonly end: RunEnd;
-  /** Whether the caller has its response or has disconnected. */
-  readonly isDone: boolean;
-  /** Whether any byte of the request may have reached the upstream. */
-  readonly mayHaveArrived: boolean;
-  /** Whether the upstream may have run the request. */
-  readonly mayHaveRun: boolean;
-  /** Whether the connection broke or could not be established. */
-  readonly isConnectionFailure: boolean;
-  /** The upstream's error response, sent to the caller if no retry succeeds. */
-  readonly errorResponse: BufferedResponse | null;
-  /** Mean milliseconds between two events; null with fewer than two. */
-  readonly eventGapMs: number | null;
-  readonly cause: string;
-}
-
-const COMPLETED: SendOutcome = {
-  end: RUN_END.COMPLETED,
-  isDone: true,
-  mayHaveArrived: true,
-  mayHaveRun: true,
-  isConnectionFailure: false,
-  errorResponse: null,
-  eventGapMs: null,
-  cause: '',
-};
-
-/** Outcome of a failed send whose request the upstream may have run. */
-function failedRun(end: RunEnd, cause: string): SendOutcome {
-  return {...COMPLETED, end, isDone: false, cause};
-}
-
-/** Outcome of a send whose request the upstream has not run. */
-function notRun(
-  end: RunEnd,
-  cause: string,
-  mayHaveArrived: boolean,
-): SendOutcome {
-  return {
-    ...failedRun(end, cause),
-    mayHaveRun: false,
-    mayHaveArrived,
-  };
-}
-
 /** Sends a request once, to the upstream that it was placed on. */
 export class UpstreamAttempt {
   private sentAtMs = 0;
@@ -169,11 +124,27 @@
       },
       wireFormat,
     ).then(result => {
-      if (result.kind === 'answered') this.reportedLoad = result.head.load;
+      if (result.kind !== 'answered') return result;
+      this.reportedLoad = result.head.load;
+      this.recordLimit(result.head);
       return result;
     });
   }
 
+  /** Records what the response head says of the upstream's rate limit. */
+  private recordLimit(head: UpstreamResponseHead): void {
+    // Another upstream at the same address sent it, or it is a late response.
+    const {requestId} = this.request.head;
+    const isForOtherRequest =
+      head.requestId !== null && head.requestId !== requestId;
+    if (head.isInstanceMismatch || isForOtherRequest) return;
+    this.gateway.limitObserver.recordResponse(
+      this.placement.upstream,
+      head.rateLimitPerS,
+      {requestId, sentAtMs: this.sentAtMs},
+    );
+  }
+
   private async handleSendResult(sent: SendResult): Promise<SendOutcome> {
     switch (sent.kind) {
       case 'unreachable':
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -152,5 +152,17 @@
 /** Maximum number of bursts that a cluster may use between two exchanges. */
 export const MAX_UNCONFIRMED_BURSTS = 4;
 
+/** Maximum number of upstreams whose rate limits are remembered. */
+export const MAX_LIMITED_UPSTREAMS = 1_024;
+
+/**
+ * Time in milliseconds after which a rate limit is over if other gateways were
+ * told none since; gateways that were told the limit may have stopped.
+ */
+export const LIMIT_SUPERSEDED_AFTER_MS = 2_000;
+
+/** Time in milliseconds for which what an upstream said of its limit counts. */
+export const LIMIT_STATEMENT_TTL_MS = 30_000;
+
 /** Share of a quota's tolerance that one member's bucket may use. */
 export const QUOTA_TOLERANCE_SHARE = 0.3;
--- /dev/null
+++ b/packages/scheduling/src/upstream_limits.ts
@@ -0,0 +1,97 @@
+import {LRUCache} from 'lru-cache';
+import {
+  LIMIT_STATEMENT_TTL_MS,
+  LIMIT_SUPERSEDED_AFTER_MS,
+  MAX_LIMITED_UPSTREAMS,
+} from './constants.js';
+import type {UpstreamSpec} from './types.js';
+
+/** What an upstream last told one gateway about the rate that it accepts. */
+export interface LimitStatement {
+  readonly instanceId: string;
+  /** Start of the upstream in Unix milliseconds; null if not known. */
+  readonly startedAtUnixMs: number | null;
+  /** Requests per second of all gateways together; null if it named no limit. */
+  readonly perSecond: number | null;
+  /**
+   * Monotonic milliseconds: of the response that named the limit, or of the
+   * request whose response named none.
+   */
+  readonly statedAtMs: number;
+}
+
+/** Identifies one life of an upstream, which may keep its instance id. */
+type UpstreamLife = Pick<UpstreamSpec, 'instanceId' | 'startedAtUnixMs'>;
+
+/**
+ * The limit that follows from the latest statement to each gateway, in requests
+ * per second; null for none. The newest limit counts. A gateway that was told
+ * none speaks for itself only, unless the others have not been told a limit for
+ * LIMIT_SUPERSEDED_AFTER_MS before.
+ */
+export function limitInForce(
+  statements: Iterable<LimitStatement>,
+): number | null {
+  let newest: LimitStatement | null = null;
+  let endedAtMs = -Infinity;
+  for (const statement of statements) {
+    if (statement.perSecond === null) {
+      endedAtMs = Math.max(endedAtMs, statement.statedAtMs);
+    } else if (!newest || statement.statedAtMs > newest.statedAtMs) {
+      newest = statement;
+    }
+  }
+  if (!newest) return null;
+  const isSuperseded =
+    endedAtMs - newest.statedAtMs > LIMIT_SUPERSEDED_AFTER_MS;
+  return isSuperseded ? null : newest.perSecond;
+}
+
+/** Statements of upstreams about their limits, by the gateway that was told. */
+export class UpstreamLimits {
+  private readonly byUpstream = new LRUCache<
+    string,
+    Map<string, LimitStatement>
+  >({max: MAX_LIMITED_UPSTREAMS});
+
+  /**
+   * Records what a gateway was told unless something newer is known. Returns
+   * whether the limit that it was told has changed.
+   */
+  record(gatewayId: string, statement: LimitStatement): boolean {
+    const key = keyOf(statement);
+    const statements: Map<string, LimitStatement> =
+      this.byUpstream.get(key) ?? new Map();
+    const before = statements.get(gatewayId);
+    if (before && before.statedAtMs > statement.statedAtMs) return false;
+    statements.set(gatewayId, statement);
+    this.byUpstream.set(key, statements);
+    return (before?.perSecond ?? null) !== statement.perSecond;
+  }
+
+  /** The limit in force in requests per second; null for none. */
+  limitOf(upstream: UpstreamLife, nowMs: number): number | null {
+    const statements = this.byUpstream.get(keyOf(upstream));
+    if (!statements) return null;
+    return limitInForce([...statements.values()].filter(isRecentAt(nowMs)));
+  }
+
+  /** The recent statements to a gateway. */
+  statementsTo(gatewayId: string, nowMs: number): LimitStatement[] {
+    const isRecent = isRecentAt(nowMs);
+    const statements: LimitStatement[] = [];
+    for (const byGateway of this.byUpstream.values()) {
+      const statement = byGateway.get(gatewayId);
+      if (statement && isRecent(statement)) statements.push(statement);
+    }
+    return statements;
+  }
+}
+
+function isRecentAt(nowMs: number): (statement: LimitStatement) => boolean {
+  return ({statedAtMs}) => nowMs - statedAtMs <= LIMIT_STATEMENT_TTL_MS;
+}
+
+function keyOf({instanceId, startedAtUnixMs}: UpstreamLife): string {
+  return `${instanceId}@${startedAtUnixMs ?? ''}`;
+}
