Keep all requests to an upstream within the rate that it names

Callers' requests reached an upstream three to four times as often as the rate that it had named in its answers: 25 in 4 s with 19 allowed in the users' record, 152 with 17 allowed in the reproduction.

Cause: what an upstream says in an answer ended at the gateway that got it. Nobody read the limit, and the dispatcher, which alone sees what all gateways send there, placed by free slots and speed. Class of fault: an order to all that only its first reader knows.

Each gateway keeps the last statement of an upstream to itself and sends it to the dispatcher with its run reports: at once if it changed, on each change of the members, and every 300 ms, so that a new dispatcher knows it before the first grant. limitInForce decides on these statements: the newest limit counts; an answer without one ends it for the gateway that got it, and for all if nobody was told it for 2 s. The dispatcher charges each grant to a bucket of one request, retries and resumes too, since each send needs a grant. The buckets are ledgers of the usage exchange, so that two dispatchers deduct each other's grants and keep to their shares when cut off. Placing treats a limited upstream as a small one: its room, its wait and its part of the queue's rate follow the limit, and what cannot start in time is refused at once.

The bucket's test is waitMs.

--- a/examples/dispatch_queue.mjs
+++ b/examples/dispatch_queue.mjs
@@ -1,10 +1,16 @@
 // Places four requests on two upstreams that have one slot each. The requests
 // that wait are placed by tier as soon as a slot is free; tier 0 is the highest.
-import {DispatchQueue, RetryBudget} from '@fescuespool/scheduling';
+import {
+  DispatchQueue,
+  RetryBudget,
+  UpstreamLimits,
+  UpstreamRateLimiter,
+} from '@fescuespool/scheduling';
 
 const queue = new DispatchQueue({
   nowMs: () => performance.now(),
   retryBudget: new RetryBudget({ratio: 0.2, extra: 10, windowMs: 10_000}),
+  rateLimiter: new UpstreamRateLimiter(new UpstreamLimits()),
 });
 queue.setUpstreams(
   ['fast', 'slow'].map(instanceId => ({
--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -5,6 +5,7 @@
   GrantRequest,
   QueueAnswer,
   StartReport,
+  UpstreamLimits,
 } from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {PeerNetwork} from '@fescuespool/transport';
@@ -17,9 +18,11 @@
 } from './constants.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {MemberDirectory} from './member_directory.js';
+import type {AgedLimitStatement, RunReport} from './messages.js';
 import {GRANT_ANSWER_SCHEMA} from './messages.js';
 import type {PeerMonitor} from './peer_monitor.js';
 import type {GatewayMember} from './types.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 /**
  * Outcome of a request for an upstream; `aborted` if its signal fired first,
@@ -47,7 +50,7 @@
  */
 export class DispatchClient {
   private readonly grantedRuns = new Map<string, GrantedRun>();
-  private readonly reportedServices = new Map<string, string>();
+  private readonly reportedServices = new Set<string>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(
@@ -57,6 +60,8 @@
     private readonly network: PeerNetwork,
     private readonly monitor: PeerMonitor,
     private readonly dispatcher: Dispatcher,
+    private readonly limits: UpstreamLimits,
+    private readonly upstreams: UpstreamRegistry,
   ) {
     this.timer = setInterval(() => this.reportRuns(), RUN_REPORT_INTERVAL_MS);
     members.onChange(() => this.reportRuns());
@@ -126,6 +131,17 @@
     return this.grantedRuns.get(requestId)?.grantedBy.id;
   }
 
+  /** Reports the requests running here and the known limits of a service now. */
+  reportNow(service: string): void {
+    const runs: RunReport['runs'] = [];
+    for (const [requestId, run] of this.grantedRuns) {
+      if (run.service !== service) continue;
+      runs.push({requestId, instanceId: run.instanceId});
+    }
+    const limits = this.limitsByService().get(service) ?? [];
+    this.sendRunReport(service, runs, limits);
+  }
+
   /** Stops the periodic run reports. */
   close(): void {
     clearInterval(this.timer);
@@ -228,41 +244,53 @@
   }
 
   /**
-   * Reports the requests running here to the owner of each queue. A service
-   * without any left gets one final empty report.
+   * Reports the requests running here and the known limits to the owner of each
+   * queue. A service without any left gets one final empty report.
    */
   private reportRuns(): void {
-    const byService = new Map<
-      string,
-      {requestId: string; instanceId: string}[]
-    >();
-    for (const service of this.reportedServices.keys())
-      byService.set(service, []);
+    const byService = new Map<string, RunReport['runs']>();
+    for (const service of this.reportedServices) byService.set(service, []);
     for (const [requestId, {service, instanceId}] of this.grantedRuns) {
       const runs = byService.get(service) ?? [];
       runs.push({requestId, instanceId});
       byService.set(service, runs);
     }
+    const limitsByService = this.limitsByService();
+    for (const service of limitsByService.keys()) {
+      if (!byService.has(service)) byService.set(service, []);
+    }
     for (const [service, runs] of byService) {
-      const owner = this.members.ownerOf(service);
-      if (runs.length > 0) this.reportedServices.set(service, owner.id);
+      if (runs.length > 0) this.reportedServices.add(service);
       else this.reportedServices.delete(service);
-      this.sendRunReport(owner, service, runs);
+      this.sendRunReport(service, runs, limitsByService.get(service) ?? []);
+    }
+  }
+
+  private limitsByService(): Map<string, AgedLimitStatement[]> {
+    const now = this.clock.monotonicMs();
+    const {id} = this.members.localMember;
+    const byService = new Map<string, AgedLimitStatement[]>();
+    for (const statement of this.limits.statementsTo(id, now)) {
+      const service = this.upstreams.serviceOf(statement.instanceId);
+      if (service === undefined) continue;
+      const {statedAtMs, ...rest} = statement;
+      const statements = byService.get(service) ?? [];
+      statements.push({...rest, ageMs: Math.round(now - statedAtMs)});
+      byService.set(service, statements);
     }
+    return byService;
   }
 
   private sendRunReport(
-    owner: GatewayMember,
     service: string,
-    runs: {requestId: string; instanceId: string}[],
+    runs: RunReport['runs'],
+    limits: AgedLimitStatement[],
   ): void {
+    const owner = this.members.ownerOf(service);
     const entryId = this.members.localMember.id;
-    if (this.members.isSelf(owner))
-      this.dispatcher.reconcile(service, entryId, runs);
-    else {
-      const params = {service, entryId, runs};
-      this.network.notify(owner, GATEWAY_METHOD.REPORT, params);
-    }
+    const report = {service, entryId, runs, limits};
+    if (this.members.isSelf(owner)) this.dispatcher.reconcile(report);
+    else this.network.notify(owner, GATEWAY_METHOD.REPORT, report);
   }
 }
 
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -5,10 +5,16 @@
   QueueAnswer,
   RetryBudgetBounds,
   StartReport,
+  UpstreamLimits,
   UpstreamSpec,
 } from '@fescuespool/scheduling';
-import {DispatchQueue, RetryBudget} from '@fescuespool/scheduling';
+import {
+  DispatchQueue,
+  RetryBudget,
+  UpstreamRateLimiter,
+} from '@fescuespool/scheduling';
 import {MAX_QUEUE_TICK_GAP_MS, QUEUE_TICK_INTERVAL_MS} from './constants.js';
+import type {RunReport} from './messages.js';
 
 /** Registered upstreams, keyed by service name. */
 export type UpstreamsByService = ReadonlyMap<string, readonly UpstreamSpec[]>;
@@ -19,6 +25,8 @@
  * waiting requests at the new owner when a queue moves.
  */
 export class Dispatcher {
+  /** Counts the grants to limited upstreams. */
+  readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
   private upstreams: UpstreamsByService = new Map();
   private readonly timer: NodeJS.Timeout;
@@ -28,9 +36,12 @@
     private readonly clock: Clock,
     private readonly log: Logger,
     private retryBudgetBounds: RetryBudgetBounds,
+    /** What upstreams told this member and those that report to it. */
+    private readonly upstreamLimits: UpstreamLimits,
     /** Whether this member owns the queue of a service. */
     private readonly isOwner: (service: string) => boolean,
   ) {
+    this.rateLimiter = new UpstreamRateLimiter(upstreamLimits);
     this.lastTickMs = clock.monotonicMs();
     this.timer = setInterval(() => this.tick(), QUEUE_TICK_INTERVAL_MS);
   }
@@ -64,13 +75,15 @@
 
   /**
    * Aligns the queue with the requests that an entry reports as running: adds
-   * the missing ones and drops those that the entry no longer reports.
+   * the missing ones and drops those that the entry no longer reports. Records
+   * the rate limits that upstreams told the entry.
    */
-  reconcile(
-    service: string,
-    entryId: string,
-    runs: readonly {requestId: string; instanceId: string}[],
-  ): void {
+  reconcile({service, entryId, runs, limits}: RunReport): void {
+    const now = this.clock.monotonicMs();
+    for (const {ageMs, ...statement} of limits) {
+      const statedAtMs = now - ageMs;
+      this.upstreamLimits.record(entryId, {...statement, statedAtMs});
+    }
     this.queueFor(service).reconcile(entryId, runs);
   }
 
@@ -83,6 +96,7 @@
   /** Replaces the upstreams of all queues, also future ones. */
   setUpstreams(upstreams: UpstreamsByService): void {
     this.upstreams = upstreams;
+    this.rateLimiter.retain([...upstreams.values()].flat());
     for (const [service, queue] of this.queues) {
       queue.setUpstreams(upstreams.get(service) ?? []);
     }
@@ -131,6 +145,7 @@
     const queue = new DispatchQueue({
       nowMs: this.clock.monotonicMs,
       retryBudget: new RetryBudget(this.retryBudgetBounds),
+      rateLimiter: this.rateLimiter,
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     this.queues.set(service, queue);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -97,8 +97,12 @@
     const {members, network} = this;
     this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
-    this.dispatcher = new Dispatcher(clock, log, settings.retryBudget, key =>
-      members.isOwnerOf(key),
+    this.dispatcher = new Dispatcher(
+      clock,
+      log,
+      settings.retryBudget,
+      this.upstreamLimits,
+      key => members.isOwnerOf(key),
     );
     const dispatchClient = new DispatchClient(
       clock,
@@ -107,6 +111,8 @@
       network,
       this.monitor,
       this.dispatcher,
+      this.upstreamLimits,
+      this.upstreams,
     );
     members.onChange(() => this.dispatcher.handOverQueues());
     members.onSuspected(id => this.dispatcher.handleMemberSuspected(id));
@@ -117,7 +123,7 @@
       members,
       network,
       this.monitor,
-      quotaLedger,
+      [quotaLedger, this.dispatcher.rateLimiter.ledger],
     );
     this.context = {
       settings,
@@ -134,6 +140,10 @@
         log,
         settings.memberId,
         this.upstreamLimits,
+        instanceId => {
+          const service = this.upstreams.serviceOf(instanceId);
+          if (service !== undefined) dispatchClient.reportNow(service);
+        },
       ),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
--- a/packages/gateway/src/limit_observer.ts
+++ b/packages/gateway/src/limit_observer.ts
@@ -1,5 +1,9 @@
 import type {Clock, Logger} from '@fescuespool/common';
-import type {UpstreamLimits, UpstreamSpec} from '@fescuespool/scheduling';
+import type {
+  Placement,
+  UpstreamLimits,
+  UpstreamSpec,
+} from '@fescuespool/scheduling';
 
 /** Records what upstreams tell this gateway about the rate that they accept. */
 export class LimitObserver {
@@ -8,6 +12,8 @@
     private readonly log: Logger,
     private readonly memberId: string,
     private readonly limits: UpstreamLimits,
+    /** Called with the instance id of an upstream that told another limit. */
+    private readonly onChange: (instanceId: string) => void,
   ) {}
 
   /** Number of upstreams that last told this gateway a limit. */
@@ -23,13 +29,14 @@
    * none. The request's send time is in monotonic milliseconds.
    */
   recordResponse(
-    upstream: UpstreamSpec,
+    {upstream, rateLimitPerS}: Placement,
     perSecond: number | null,
     request: {readonly requestId: string; readonly sentAtMs: number},
   ): void {
     const {instanceId, startedAtUnixMs} = upstream;
     const before = this.limitToldBy(upstream);
-    if (perSecond === null && before === null) return;
+    const isLimited = before !== null || rateLimitPerS !== null;
+    if (perSecond === null && !isLimited) return;
     const hasChanged = this.limits.record(this.memberId, {
       instanceId,
       startedAtUnixMs,
@@ -39,6 +46,8 @@
       statedAtMs:
         perSecond === null ? request.sentAtMs : this.clock.monotonicMs(),
     });
+    // The dispatcher must hear at once that a limit which others told it is over.
+    if (hasChanged || perSecond !== rateLimitPerS) this.onChange(instanceId);
     if (!hasChanged) return;
     this.log.info('upstream_limit_changed', {
       id: request.requestId,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,5 +1,9 @@
 import {MAX_CRASH_CAUSES} from '@fescuespool/coordination';
-import {QUEUE_REFUSAL, RUN_END} from '@fescuespool/scheduling';
+import {
+  MAX_LIMITED_UPSTREAMS,
+  QUEUE_REFUSAL,
+  RUN_END,
+} from '@fescuespool/scheduling';
 import {z} from 'zod';
 
 const ID = z.string().max(256);
@@ -46,6 +50,7 @@
       waitedMs: MILLISECONDS,
       freeSlots: z.number(),
       isOnTrial: z.boolean(),
+      rateLimitPerS: z.number().nullable().default(null),
     }),
   }),
   z.object({
@@ -77,13 +82,31 @@
   }),
 });
 
-/** Params of an entry's periodic list of running requests of a service. */
+/** What an upstream told an entry about its rate limit, and how long ago. */
+const LIMIT_STATEMENT = z.object({
+  instanceId: ID,
+  startedAtUnixMs: z.number().nullable(),
+  perSecond: z.number().min(0).nullable(),
+  ageMs: MILLISECONDS,
+});
+
+/** Statement about a rate limit with its age instead of its time. */
+export type AgedLimitStatement = z.infer<typeof LIMIT_STATEMENT>;
+
+/**
+ * Params of an entry's periodic list of running requests of a service, and of
+ * what its upstreams told the entry about their rate limits.
+ */
 export const REPORT_SCHEMA = z.object({
   service: ID,
   entryId: ID,
   runs: z.array(z.object({requestId: ID, instanceId: ID})).max(MAX_RUNS),
+  limits: z.array(LIMIT_STATEMENT).max(MAX_LIMITED_UPSTREAMS).default([]),
 });
 
+/** An entry's list of running requests of a service. */
+export type RunReport = z.infer<typeof REPORT_SCHEMA>;
+
 /** Quota units by account name. */
 export const USAGE_SCHEMA = z.record(ID, z.number());
 
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -54,10 +54,8 @@
       ENDED_SCHEMA,
       ({service, report}) => dispatcher.recordEnd(service, report),
     ),
-    [GATEWAY_METHOD.REPORT]: withValidatedParams(
-      REPORT_SCHEMA,
-      ({service, entryId, runs}) =>
-        dispatcher.reconcile(service, entryId, runs),
+    [GATEWAY_METHOD.REPORT]: withValidatedParams(REPORT_SCHEMA, report =>
+      dispatcher.reconcile(report),
     ),
     [GATEWAY_METHOD.USAGE]: withValidatedParams(
       USAGE_REPORT_SCHEMA,
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -139,7 +139,7 @@
       head.requestId !== null && head.requestId !== requestId;
     if (head.isInstanceMismatch || isForOtherRequest) return;
     this.gateway.limitObserver.recordResponse(
-      this.placement.upstream,
+      this.placement,
       head.rateLimitPerS,
       {requestId, sentAtMs: this.sentAtMs},
     );
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -9,6 +9,7 @@
 /** Tracks the currently registered upstreams and recently removed ones. */
 export class UpstreamRegistry {
   private readonly byId = new Map<string, UpstreamSpec>();
+  private readonly serviceById = new Map<string, string>();
   /**
    * Monotonic milliseconds of each upstream's last complete response, or
    * CONNECTION_FAILED if a connection to it has failed since then.
@@ -29,8 +30,12 @@
   replace(upstreams: UpstreamsByService): void {
     const previousIds = [...this.byId.keys()];
     this.byId.clear();
-    for (const specs of upstreams.values()) {
-      for (const spec of specs) this.byId.set(spec.instanceId, spec);
+    this.serviceById.clear();
+    for (const [service, specs] of upstreams) {
+      for (const spec of specs) {
+        this.byId.set(spec.instanceId, spec);
+        this.serviceById.set(spec.instanceId, service);
+      }
     }
     for (const id of previousIds) {
       if (this.byId.has(id)) continue;
@@ -39,6 +44,11 @@
     }
   }
 
+  /** Service of a registered upstream; undefined for others. */
+  serviceOf(instanceId: string): string | undefined {
+    return this.serviceById.get(instanceId);
+  }
+
   /** Records a complete response, at a monotonic time in milliseconds. */
   recordResponse(instanceId: string, atMs: number): void {
     if (this.byId.has(instanceId)) this.lastResponseMs.set(instanceId, atMs);
--- a/packages/gateway/src/usage_exchange.test.ts
+++ b/packages/gateway/src/usage_exchange.test.ts
@@ -69,7 +69,7 @@
       this.directory,
       this.network,
       this.monitor,
-      this.quotas,
+      [this.quotas],
     );
     await this.network.listen({
       [GATEWAY_METHOD.PING]: async () => {
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -19,8 +19,8 @@
 import type {PeerMonitor} from './peer_monitor.js';
 
 /**
- * Exchanges quota usage with the other members through the usage hub: reports
- * what was charged here and deducts what the others used. An unreachable member
+ * Exchanges the usage of quotas and rate limits with the other members through
+ * the usage hub: reports what was charged here and deducts what the others used. An unreachable member
  * may still use its share of every quota, so the members that reach each other
  * keep to the remaining shares, and an isolated member keeps to its own.
  */
@@ -45,7 +45,8 @@
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
     private readonly monitor: PeerMonitor,
-    private readonly quotaLedger: QuotaLedger,
+    /** Ledgers that share the exchange; each ignores the others' accounts. */
+    private readonly ledgers: readonly QuotaLedger[],
   ) {
     this.lastAnswerMs = clock.monotonicMs();
     void this.exchangePeriodically();
@@ -77,7 +78,8 @@
   private async exchange(): Promise<void> {
     const hub = this.members.ownerOf(USAGE_HUB_KEY);
     const memberId = this.members.localMember.id;
-    const usage = this.quotaLedger.takeUnreported();
+    const usages = this.ledgers.map(ledger => ledger.takeUnreported());
+    const usage = Object.assign({}, ...usages) as Record<string, number>;
     const startMs = this.clock.monotonicMs();
     if (hub.id === memberId) {
       this.applyAnswer(hub.id, this.handleUsageReport(memberId, usage));
@@ -95,7 +97,7 @@
       this.applyAnswer(hub.id, answer.value);
       return;
     }
-    this.quotaLedger.restoreUnreported(usage);
+    this.ledgers.forEach((ledger, i) => ledger.restoreUnreported(usages[i]!));
     const elapsedMs = this.clock.monotonicMs() - startMs;
     // The failed hub is suspected, so another member takes over until it
     // answers again.
@@ -111,9 +113,8 @@
     this.hubId = hubId;
     // Usage from both sides of a partition was covered by their shares of the
     // quotas, so it is not deducted again afterwards.
-    this.quotaLedger.applyOthersUsage(
-      isSameHub || this.share === 1 ? others : {},
-    );
+    const deducted = isSameHub || this.share === 1 ? others : {};
+    for (const ledger of this.ledgers) ledger.applyOthersUsage(deducted);
     if (heard !== null) this.setShare(heard / this.members.allMembers.length);
   }
 
@@ -127,7 +128,7 @@
   private setShare(share: number): void {
     const previousShare = this.share;
     this.share = Math.min(1, share);
-    this.quotaLedger.setShare(this.share);
+    for (const ledger of this.ledgers) ledger.setShare(this.share);
     if (this.share === previousShare) return;
     this.log.info('quota_share_changed', {
       share: this.share.toFixed(3),
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -161,6 +161,12 @@
  */
 export const LIMIT_SUPERSEDED_AFTER_MS = 2_000;
 
+/**
+ * Lowest rate of requests per second to a limited upstream; without requests the
+ * end of its limit would not be noticed.
+ */
+export const MIN_RATE_PER_S = 0.1;
+
 /** Time in milliseconds for which what an upstream said of its limit counts. */
 export const LIMIT_STATEMENT_TTL_MS = 30_000;
 
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -10,6 +10,8 @@
   RunEnd,
   UpstreamSpec,
 } from './types.js';
+import {UpstreamLimits} from './upstream_limits.js';
+import {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 
 const ENTRY = 'entry-1';
 
@@ -50,6 +52,7 @@
   nowMs = 0;
   readonly answers = new Map<string, QueueAnswer>();
   readonly order: string[] = [];
+  readonly limits = new UpstreamLimits();
   readonly queue: DispatchQueue;
 
   constructor(specs: UpstreamSpec[], extraRetries = 100) {
@@ -57,6 +60,7 @@
     this.queue = new DispatchQueue({
       nowMs: () => this.nowMs,
       retryBudget: new RetryBudget(budget),
+      rateLimiter: new UpstreamRateLimiter(this.limits),
     });
     this.queue.setUpstreams(specs);
   }
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,9 +1,6 @@
 import {LRUCache} from 'lru-cache';
 import {
-  AVOIDED_ZONE_COST_MS,
-  CROSS_ZONE_COST_MS,
   ENTRY_TIMEOUT_MS,
-  FAILURE_COST_MS,
   MAX_REFUSED_FINGERPRINTS,
   MAX_RETRY_AFTER_MS,
   MAX_WAITING,
@@ -15,7 +12,6 @@
   REFUSED_FINGERPRINT_TTL_MS,
   RETRY_AFTER_WAIT_FACTOR,
   RUN_END,
-  RUN_TIME_WEIGHT,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
@@ -28,6 +24,9 @@
   StartReport,
   UpstreamSpec,
 } from './types.js';
+import type {Candidate} from './upstream_choice.js';
+import {UpstreamChooser} from './upstream_choice.js';
+import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
 import type {WaitingRequest} from './waiting_list.js';
 import {WaitingList} from './waiting_list.js';
@@ -37,14 +36,7 @@
   /** Monotonic milliseconds. */
   readonly nowMs: () => number;
   readonly retryBudget: RetryBudget;
-}
-
-/** An upstream and the estimated cost of running a request there. */
-interface Candidate {
-  readonly state: UpstreamState;
-  readonly startMs: number;
-  /** Start time, weighted run time and penalties. */
-  readonly costMs: number;
+  readonly rateLimiter: UpstreamRateLimiter;
 }
 
 /**
@@ -58,6 +50,7 @@
   readonly upstreams = new Map<string, UpstreamState>();
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
+  private readonly chooser: UpstreamChooser;
   private readonly entryMonitor = new EntryMonitor();
   /** Fingerprints of refused requests that their callers may repeat. */
   private readonly refusedFingerprints = new LRUCache<string, true>({
@@ -65,7 +58,9 @@
     ttl: REFUSED_FINGERPRINT_TTL_MS,
   });
 
-  constructor(private readonly options: DispatchQueueOptions) {}
+  constructor(private readonly options: DispatchQueueOptions) {
+    this.chooser = new UpstreamChooser(this.latency, options.rateLimiter);
+  }
 
   /** Retry budget of the service. */
   get retryBudget(): RetryBudget {
@@ -207,8 +202,12 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
-    const slotsPerMs = this.latency.slotsFreedPerMs(this.usable(now));
-    for (const waiting of this.waiting.takeUnplaceable(now, slotsPerMs)) {
+    const unplaceable = this.waiting.takeUnplaceable(
+      now,
+      this.placementsPerMs(now),
+      this.firstPlacementInMs(now),
+    );
+    for (const waiting of unplaceable) {
       const isExpired = waiting.placementDeadlineMs <= now;
       const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
       this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
@@ -262,9 +261,32 @@
   /** Expected milliseconds until the requests ahead of this one are placed. */
   private expectedWaitMs(waiting: WaitingRequest, now: number): number {
     const ahead = this.waiting.countBefore(waiting);
-    if (ahead === 0) return 0;
-    const slotsPerMs = this.latency.slotsFreedPerMs(this.usable(now));
-    return slotsPerMs === 0 ? MAX_RETRY_AFTER_MS : ahead / slotsPerMs;
+    const firstInMs = this.firstPlacementInMs(now);
+    if (ahead === 0) return firstInMs;
+    const perMs = this.placementsPerMs(now);
+    return perMs === 0 ? MAX_RETRY_AFTER_MS : firstInMs + ahead / perMs;
+  }
+
+  private placementsPerMs(now: number): number {
+    return this.latency.placementsPerMs(this.usable(now), ({spec}) =>
+      this.options.rateLimiter.maxPerMs(spec, now),
+    );
+  }
+
+  /** Milliseconds until the rate limit of any usable upstream permits a grant. */
+  private firstPlacementInMs(now: number): number {
+    const {rateLimiter} = this.options;
+    const waits = this.usable(now).map(({spec}) =>
+      rateLimiter.waitMs(spec, now),
+    );
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
+  private hasRoom(state: UpstreamState, now: number): boolean {
+    const {rateLimiter} = this.options;
+    return (
+      state.freeSlots(now) > 0 && rateLimiter.waitMs(state.spec, now) === 0
+    );
   }
 
   private usable(now: number): UpstreamState[] {
@@ -275,108 +297,34 @@
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
     const usable = this.usable(now);
-    let free = usable.filter(state => state.freeSlots(now) > 0);
+    let free = usable.filter(state => this.hasRoom(state, now));
     for (const waiting of this.waiting.peek(PLACEMENT_WINDOW)) {
       if (free.length === 0) return;
-      const wasLate = waiting.isLate;
-      const candidate = this.chooseUpstream(waiting, usable, free, now);
-      if (waiting.isLate !== wasLate) {
+      const choice = this.chooser.choose(waiting, usable, free, now);
+      if (choice === 'late') {
         // It now queues behind its own tier, but still ahead of lower tiers.
+        this.waiting.markLate(waiting);
         this.placeWaiting();
         return;
       }
-      if (!candidate) continue;
+      if (choice === 'wait') continue;
       this.waiting.remove(waiting.request.requestId);
-      this.grant(waiting, candidate, now);
-      if (candidate.state.freeSlots(now) <= 0) {
-        free = free.filter(state => state !== candidate.state);
+      this.grant(waiting, choice, now);
+      if (!this.hasRoom(choice.state, now)) {
+        free = free.filter(state => state !== choice.state);
       }
     }
   }
 
-  /**
-   * Chooses the cheapest free upstream. Null where the request has to wait: for a
-   * busy upstream that would meet the objective when no free one does, for an
-   * upstream that has not failed this request, or, having just become late,
-   * behind requests that can still meet their objective.
-   */
-  private chooseUpstream(
-    waiting: WaitingRequest,
-    usable: readonly UpstreamState[],
-    free: readonly UpstreamState[],
-    now: number,
-  ): Candidate | null {
-    const {request} = waiting;
-    const hasSafeTarget = usable.some(state => state.acceptsNonRepeatable(now));
-    const eligible =
-      request.isRepeatable || !hasSafeTarget
-        ? free
-        : free.filter(state => state.acceptsNonRepeatable(now));
-    const notExcluded = eligible.filter(
-      state => !request.excluded.includes(state.spec.instanceId),
-    );
-    const candidates = notExcluded.length > 0 ? notExcluded : eligible;
-    // A retry goes to the same upstream only if the service has no other.
-    const hasAlternative = usable.some(
-      state => !request.excluded.includes(state.spec.instanceId),
-    );
-    if (notExcluded.length === 0 && hasAlternative) return null;
-    const best = this.findCheapest(request, candidates);
-    if (!best || waiting.isLate) return best;
-    const leftMs = waiting.objectiveAtMs - now;
-    if (best.startMs <= leftMs) return best;
-    if (this.canMeetLater(request, usable, leftMs)) return null;
-    this.waiting.markLate(waiting);
-    return null;
-  }
-
-  private findCheapest(
-    request: GrantRequest,
-    states: readonly UpstreamState[],
-  ): Candidate | null {
-    let best: Candidate | null = null;
-    for (const state of states) {
-      const candidate = this.estimateCost(request, state);
-      if (!best || candidate.costMs < best.costMs) best = candidate;
-    }
-    return best;
-  }
-
-  /** Estimates the cost of a request at an upstream in milliseconds. */
-  private estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
-    const startMs = this.latency.predictStartMs(state, request.promptTokens);
-    const {zone} = state.spec;
-    const crossZoneMs = zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
-    const isAvoided = request.avoidedZones.includes(zone);
-    const zoneMs = isAvoided ? AVOIDED_ZONE_COST_MS : crossZoneMs;
-    const costMs =
-      startMs +
-      RUN_TIME_WEIGHT * this.latency.predictRunMs(state) +
-      FAILURE_COST_MS * state.failureRate +
-      zoneMs;
-    return {state, startMs, costMs};
-  }
-
-  /** Whether waiting for a slot of a busy upstream would meet the objective. */
-  private canMeetLater(
-    request: GrantRequest,
-    usable: readonly UpstreamState[],
-    leftMs: number,
-  ): boolean {
-    return usable.some(state => {
-      const slots = Math.max(1, state.spec.slots);
-      const slotWaitMs = this.latency.predictRunMs(state) / slots;
-      return slotWaitMs + this.estimateCost(request, state).startMs <= leftMs;
-    });
-  }
-
   private grant(
     waiting: WaitingRequest,
     {state, startMs}: Candidate,
     now: number,
   ): void {
     const {request} = waiting;
+    const {rateLimiter} = this.options;
     const freeSlots = state.freeSlots(now);
+    rateLimiter.take(state.spec, now);
     state.runs.set(request.requestId, {
       requestId: request.requestId,
       entryId: request.entryId,
@@ -394,6 +342,7 @@
         waitedMs: now - waiting.arrivedAtMs,
         freeSlots,
         isOnTrial: state.isOnTrial,
+        rateLimitPerS: rateLimiter.limitOf(state.spec, now),
       },
     });
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,8 @@
 export * from './start_time_model.js';
 export * from './token_quota.js';
 export * from './types.js';
+export * from './upstream_choice.js';
 export * from './upstream_limits.js';
+export * from './upstream_rate_limiter.js';
 export * from './upstream_state.js';
 export * from './waiting_list.js';
--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -59,11 +59,19 @@
     return min === Infinity ? 0 : min * this.model.predictMs(promptTokens);
   }
 
-  /** Slots that ending runs free per millisecond, when all slots are used. */
-  slotsFreedPerMs(states: Iterable<UpstreamState>): number {
+  /**
+   * Requests that can be placed per millisecond when all slots are used: those
+   * that ending runs make room for, but at most `maxPerMs` at each upstream.
+   */
+  placementsPerMs(
+    states: Iterable<UpstreamState>,
+    maxPerMs: (state: UpstreamState) => number,
+  ): number {
     let rate = 0;
-    for (const state of states)
-      rate += state.spec.slots / this.predictRunMs(state);
+    for (const state of states) {
+      const slotsPerMs = state.spec.slots / this.predictRunMs(state);
+      rate += Math.min(slotsPerMs, maxPerMs(state));
+    }
     return rate;
   }
 }
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -62,10 +62,7 @@
 
   /**
    * Charges units to an account. Returns 0 if they are within its quota; otherwise
-   * charges nothing and returns the milliseconds until they would be. Each
-   * priority reserves a part of the burst for the higher ones, so that an account
-   * over its quota loses its least urgent requests first. Priority 0 is the
-   * highest.
+   * charges nothing and returns the milliseconds until they would be.
    */
   charge(
     account: string,
@@ -73,6 +70,28 @@
     units: number,
     nowMs: number,
     priority = 0,
+  ): number {
+    const waitMs = this.waitMs(account, limit, units, nowMs, priority);
+    if (waitMs > 0) return waitMs;
+    const bucket = this.bucketOf(account, limit, nowMs);
+    bucket.level -= units;
+    bucket.unconfirmed += units;
+    this.addUnreported(account, units);
+    return 0;
+  }
+
+  /**
+   * Milliseconds until units would be within an account's quota; 0 if they are
+   * now. Each priority reserves a part of the burst for the higher ones, so that
+   * an account over its quota loses its least urgent requests first. Priority 0
+   * is the highest.
+   */
+  waitMs(
+    account: string,
+    limit: QuotaLimit,
+    units: number,
+    nowMs: number,
+    priority = 0,
   ): number {
     const bucket = this.bucketOf(account, limit, nowMs);
     const reservedPriorities = Math.min(priority, MAX_RESERVED_PRIORITIES);
@@ -92,12 +111,16 @@
     if (excess > 0 && missing > 0) {
       return Math.max(1, Math.ceil(Math.min(excess, missing) / perMs));
     }
-    bucket.level -= units;
-    bucket.unconfirmed += units;
-    this.addUnreported(account, units);
     return 0;
   }
 
+  /** Drops the buckets of all accounts but these. */
+  retain(accounts: ReadonlySet<string>): void {
+    for (const account of this.buckets.keys()) {
+      if (!accounts.has(account)) this.buckets.delete(account);
+    }
+  }
+
   /** Sets the number of members, which limits the use between two exchanges. */
   setMemberCount(count: number): void {
     this.memberCount = Math.max(1, count);
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -64,6 +64,8 @@
   readonly freeSlots: number;
   /** Whether the upstream failed recently and gets one run at a time. */
   readonly isOnTrial: boolean;
+  /** Limit of the upstream in requests per second; null for none. */
+  readonly rateLimitPerS: number | null;
 }
 
 /** Answer of the queue to a grant request. */
--- /dev/null
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -0,0 +1,111 @@
+import {
+  AVOIDED_ZONE_COST_MS,
+  CROSS_ZONE_COST_MS,
+  FAILURE_COST_MS,
+  RUN_TIME_WEIGHT,
+} from './constants.js';
+import type {LatencyEstimator} from './latency_estimator.js';
+import type {GrantRequest} from './types.js';
+import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
+import type {UpstreamState} from './upstream_state.js';
+import type {WaitingRequest} from './waiting_list.js';
+
+/** An upstream and the estimated cost of running a request there. */
+export interface Candidate {
+  readonly state: UpstreamState;
+  readonly startMs: number;
+  /** Start time, weighted run time and penalties. */
+  readonly costMs: number;
+}
+
+/**
+ * Where to place a request now; `wait` if a better upstream will have room in
+ * time, `late` if none can meet the objective any more.
+ */
+export type UpstreamChoice = Candidate | 'wait' | 'late';
+
+/** Chooses upstreams for waiting requests by their estimated cost. */
+export class UpstreamChooser {
+  constructor(
+    private readonly latency: LatencyEstimator,
+    private readonly rateLimiter: UpstreamRateLimiter,
+  ) {}
+
+  /**
+   * Chooses the cheapest of the upstreams with room. A request waits for a busy
+   * upstream that would meet the objective when no free one does, and for an
+   * upstream that has not failed it.
+   */
+  choose(
+    waiting: WaitingRequest,
+    usable: readonly UpstreamState[],
+    free: readonly UpstreamState[],
+    nowMs: number,
+  ): UpstreamChoice {
+    const {request} = waiting;
+    const leftToPlaceMs = waiting.placementDeadlineMs - nowMs;
+    const reachable = usable.filter(({spec}) => {
+      const waitMs = this.rateLimiter.waitMs(spec, nowMs);
+      return waitMs === 0 || waitMs <= leftToPlaceMs;
+    });
+    const isSafe = (state: UpstreamState): boolean =>
+      request.isRepeatable || state.acceptsNonRepeatable(nowMs);
+    const eligible = reachable.some(isSafe) ? free.filter(isSafe) : free;
+    const isNew = (state: UpstreamState): boolean =>
+      !request.excluded.includes(state.spec.instanceId);
+    const notExcluded = eligible.filter(isNew);
+    // A retry goes to the same upstream only if the service has no other.
+    if (notExcluded.length === 0 && reachable.some(isNew)) return 'wait';
+    const candidates = notExcluded.length > 0 ? notExcluded : eligible;
+    const best = this.findCheapest(request, candidates);
+    if (waiting.isLate) return best ?? 'wait';
+    if (!best) return 'wait';
+    const leftMs = waiting.objectiveAtMs - nowMs;
+    if (best.startMs <= leftMs) return best;
+    return this.canMeetLater(request, usable, leftMs, nowMs) ? 'wait' : 'late';
+  }
+
+  private findCheapest(
+    request: GrantRequest,
+    states: readonly UpstreamState[],
+  ): Candidate | null {
+    let best: Candidate | null = null;
+    for (const state of states) {
+      const candidate = this.estimateCost(request, state);
+      if (!best || candidate.costMs < best.costMs) best = candidate;
+    }
+    return best;
+  }
+
+  /** Estimates the cost of a request at an upstream in milliseconds. */
+  private estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
+    const startMs = this.latency.predictStartMs(state, request.promptTokens);
+    const {zone} = state.spec;
+    const crossZoneMs = zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
+    const isAvoided = request.avoidedZones.includes(zone);
+    const zoneMs = isAvoided ? AVOIDED_ZONE_COST_MS : crossZoneMs;
+    const costMs =
+      startMs +
+      RUN_TIME_WEIGHT * this.latency.predictRunMs(state) +
+      FAILURE_COST_MS * state.failureRate +
+      zoneMs;
+    return {state, startMs, costMs};
+  }
+
+  /** Whether waiting for room at a busy upstream would meet the objective. */
+  private canMeetLater(
+    request: GrantRequest,
+    usable: readonly UpstreamState[],
+    leftMs: number,
+    nowMs: number,
+  ): boolean {
+    return usable.some(state => {
+      const slots = Math.max(1, state.spec.slots);
+      const roomWaitMs = Math.max(
+        this.latency.predictRunMs(state) / slots,
+        this.rateLimiter.waitMs(state.spec, nowMs),
+      );
+      return roomWaitMs + this.estimateCost(request, state).startMs <= leftMs;
+    });
+  }
+}
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -82,14 +82,18 @@
 
   /**
    * Removes and returns the requests that will miss their placement deadline if
-   * `slotsPerMs` slots are freed per millisecond.
+   * `placementsPerMs` are placed per millisecond, the first in `firstInMs`.
    */
-  takeUnplaceable(nowMs: number, slotsPerMs: number): WaitingRequest[] {
+  takeUnplaceable(
+    nowMs: number,
+    placementsPerMs: number,
+    firstInMs: number,
+  ): WaitingRequest[] {
     const unplaceable: WaitingRequest[] = [];
     let ahead = 0;
     for (const waiting of this.requests) {
-      const waitMs = slotsPerMs > 0 ? ahead / slotsPerMs : 0;
-      const placedAtMs = nowMs + waitMs;
+      const waitMs = placementsPerMs > 0 ? ahead / placementsPerMs : 0;
+      const placedAtMs = nowMs + firstInMs + waitMs;
       if (placedAtMs < waiting.placementDeadlineMs) ahead++;
       else unplaceable.push(waiting);
     }
