Show at which software version streams begin and go on

Entries' versions and Resumes are decoded, placed names the version, stream_resumed and streams_resumed_total say whether a stream goes on at the version that began it as far as this gateway knows. Nothing acts on it.

--- a/examples/dispatch_queue.mjs
+++ b/examples/dispatch_queue.mjs
@@ -20,6 +20,7 @@
     slots: 1,
     isLeaving: false,
     startedAtUnixMs: null,
+    softwareVersion: null,
   })),
 );
 for (const [requestId, tier] of Object.entries({a: 1, b: 1, low: 2, high: 0})) {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -45,6 +45,12 @@
     result: string,
     hasBegun: boolean,
   ) => void;
+  /** Records that a stream goes on, and whether at the version that began it. */
+  readonly recordResume: (
+    route: RouteLabels,
+    by: 'gateway' | 'caller',
+    version: 'same' | 'other' | 'unknown',
+  ) => void;
   /** Records the time from a send to the first event of its stream. */
   readonly recordFirstEvent: (
     route: RouteLabels,
@@ -95,6 +101,12 @@
     labelNames: [...ROUTE_LABELS, 'result', 'begun'],
     registers,
   });
+  const resumes = new Counter({
+    name: `${PREFIX}streams_resumed_total`,
+    help: 'Streams that went on, by the software version that began them',
+    labelNames: [...ROUTE_LABELS, 'by', 'version'],
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -151,6 +163,7 @@
       ),
     recordEventGap: (route, upstreamState, gapMs) =>
       eventGaps.observe({...route, upstream_state: upstreamState}, gapMs),
+    recordResume: (route, by, version) => resumes.inc({...route, by, version}),
     setGauge: (name, label, value) => stateGauges.set({name, label}, value),
     renderText: () => registry.metrics(),
   };
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -45,6 +45,7 @@
         slots: COUNT,
         isLeaving: z.boolean(),
         startedAtUnixMs: z.number().nullable(),
+        softwareVersion: ID.nullable().default(null),
       }),
       expectedStartMs: MILLISECONDS,
       waitedMs: MILLISECONDS,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -46,6 +46,7 @@
     const {lastEventId} = request.head;
     this.progress = {
       lastEventId,
+      softwareVersion: null,
       hasSentHead: false,
       firstEventMs: null,
       hasSurvived: false,
@@ -175,6 +176,7 @@
       isOnTrial,
       expectedStartMs: Math.round(expectedStartMs),
       send: this.sends + 1,
+      version: upstream.softwareVersion ?? undefined,
       grantedBy: dispatchClient.granterOf(head.requestId),
       limitPerS: limitObserver.limitToldBy(upstream) ?? undefined,
     });
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -9,6 +9,8 @@
 export interface StreamProgress {
   /** Identifier of the last event that the caller has received. */
   lastEventId: string | null;
+  /** Software version that sent events in this response; null before. */
+  softwareVersion: string | null;
   /** Whether the response head has been sent to the caller. */
   hasSentHead: boolean;
   /** Milliseconds from the request to its first event; null until then. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -83,6 +83,8 @@
   readonly tokens: {readonly prompt: number; readonly output: number} | null;
   /** Event after which to resume a stream; null to start from its beginning. */
   readonly lastEventId: string | null;
+  /** Id of the request that brought the first event of the stream to resume. */
+  readonly resumedRequestId: string | null;
   /** Ids of the parts of its prompt, some of which other requests share. */
   readonly promptParts: readonly string[];
 }
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -215,7 +215,10 @@
         );
         res.writeHead(exchange.res.statusCode ?? OK, headers);
       },
-      onFirstEvent: () => this.reportStart(this.reportedLoad),
+      onFirstEvent: () => {
+        this.recordVersion();
+        this.reportStart(this.reportedLoad);
+      },
       onSurvival: () => this.recordSurvival(),
       idleTimeoutMs: this.mayRepeat ? eventTimeoutMs(admission.route) : null,
     });
@@ -267,6 +270,30 @@
     return {...outcome, errorResponse: meansNotRun ? null : response};
   }
 
+  /** Notes which software version sends events, before the first is sent on. */
+  private recordVersion(): void {
+    const {progress} = this;
+    const {instanceId, softwareVersion} = this.placement.upstream;
+    const beganAt = progress.softwareVersion;
+    progress.softwareVersion = softwareVersion;
+    if (progress.lastEventId === null) return;
+    const {requestId, resumedRequestId} = this.request.head;
+    this.gateway.log.info('stream_resumed', {
+      id: requestId,
+      resumes: resumedRequestId ?? undefined,
+      by: progress.hasSentHead ? 'gateway' : 'caller',
+      after: progress.lastEventId,
+      upstream: instanceId,
+      version: softwareVersion ?? undefined,
+      beganAt: beganAt ?? undefined,
+    });
+    this.gateway.metrics.recordResume(
+      this.routeLabels,
+      progress.hasSentHead ? 'gateway' : 'caller',
+      toVersionMatch(beganAt, softwareVersion),
+    );
+  }
+
   private recordSurvival(): void {
     if (this.progress.hasSurvived) return;
     this.progress.hasSurvived = true;
@@ -345,6 +372,15 @@
   }
 }
 
+/** Metric label: whether a stream goes on at the version that began it. */
+function toVersionMatch(
+  beganAt: string | null,
+  version: string | null,
+): 'same' | 'other' | 'unknown' {
+  if (beganAt === null || version === null) return 'unknown';
+  return beganAt === version ? 'same' : 'other';
+}
+
 function hasBodyHeaders(req: IncomingMessage): boolean {
   return (
     req.headers['content-length'] !== undefined ||
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -23,6 +23,7 @@
     slots,
     isLeaving: false,
     startedAtUnixMs: 1,
+    softwareVersion: null,
   };
 }
 
--- a/packages/scheduling/src/limited_upstreams.test.ts
+++ b/packages/scheduling/src/limited_upstreams.test.ts
@@ -16,6 +16,7 @@
     slots,
     isLeaving: false,
     startedAtUnixMs: 1,
+    softwareVersion: null,
   };
 }
 
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -45,6 +45,8 @@
   readonly isLeaving: boolean;
   /** Start time in Unix milliseconds; tells apart reuses of an instance id. */
   readonly startedAtUnixMs: number | null;
+  /** Version of its software, not of its model; null if not known. */
+  readonly softwareVersion: string | null;
 }
 
 /** Number of requests that an upstream reports with its response. */
--- a/packages/scheduling/src/upstream_rate_limiter.test.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.test.ts
@@ -11,6 +11,7 @@
   slots: 4,
   isLeaving: false,
   startedAtUnixMs: 1,
+  softwareVersion: null,
 };
 const WINDOW_MS = 4_000;
 const EXCHANGE_INTERVAL_MS = 100;
--- a/packages/scheduling/src/upstream_state.test.ts
+++ b/packages/scheduling/src/upstream_state.test.ts
@@ -18,6 +18,7 @@
       slots: SLOTS,
       isLeaving: false,
       startedAtUnixMs: 1,
+      softwareVersion: null,
     });
   });
 
