Predict finite times when streams have no gap between events

A stream whose events arrive in one piece has a mean gap of 0. A median of 0 now counts as none.

The test fails without the change: expected NaN to be greater than 0.

--- /dev/null
+++ b/packages/scheduling/src/latency_estimator.test.ts
@@ -0,0 +1,40 @@
+import {describe, expect, it} from 'vitest';
+import {RUN_END} from './constants.js';
+import {LatencyEstimator} from './latency_estimator.js';
+import {UpstreamState} from './upstream_state.js';
+
+describe('LatencyEstimator', () => {
+  it('predicts finite times when all events of a stream arrive at once', () => {
+    const state = new UpstreamState({
+      instanceId: 'u',
+      address: '10.0.0.1:80',
+      zone: 'a',
+      slots: 1,
+      isLeaving: false,
+      startedAtUnixMs: 1,
+      softwareVersion: null,
+    });
+    const report = {
+      requestId: 'r',
+      end: RUN_END.COMPLETED,
+      runMs: 5,
+      eventGapMs: 0,
+      load: null,
+    };
+    state.runs.set('r', {
+      requestId: 'r',
+      entryId: 'entry',
+      promptTokens: 0,
+      grantedAtMs: 0,
+      expectedStartMs: 1,
+      hasStarted: true,
+      confirmedAtMs: 0,
+    });
+    state.recordEnd(report, 5);
+    const latency = new LatencyEstimator();
+    latency.observeRun([state], report.runMs);
+    expect(state.serviceTimeMs).toBe(0);
+    expect(latency.predictStartMs(state, 100)).toBeGreaterThan(0);
+    expect(latency.predictRunMs(state)).toBeGreaterThan(0);
+  });
+});
--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -32,9 +32,10 @@
     this.medianServiceTimeMs = samples[Math.floor(samples.length / 2)] ?? null;
   }
 
-  /** Ratio of an upstream's service time to the median; 1 without samples. */
+  /** Ratio of an upstream's service time to the median; 1 without either. */
   slowdownOf({serviceTimeMs}: UpstreamState): number {
-    if (serviceTimeMs === null || this.medianServiceTimeMs === null) return 1;
+    // All events of short streams may arrive at once, with no gap between them.
+    if (serviceTimeMs === null || !this.medianServiceTimeMs) return 1;
     return Math.max(MIN_SLOWDOWN, serviceTimeMs / this.medianServiceTimeMs);
   }
 
