Let streams go on only at the software version that began them

Cause: a resume took for unchanged whatever had not been written down. Entries carry the version, but placing treated all engines of a service as equal, for the gateway's own resumes as for those of callers; and where a stream had begun was known to the gateway that had begun it alone, under an id that a caller who comes back no longer uses. Class of fault: a continuation that is not bound to the state it continues.

- A stream is bound to the version of its first event.
Grant requests name it, and the queue places them only at upstreams of that version, before others of their tier, as they can use few.
Their wait is estimated apart, so that neither side is refused while its own upstreams have room.
- When the response head arrives, before the caller has the first event, the entry keeps where the stream began (service and version) and sends it to two members of other zones, chosen by the request id as owners of queues and of the usage hub are, and waits for one of them, 60 ms at the most.
It outlives the gateway; 16,384 streams and 120 s bound the memory.
- A gateway to which a caller comes back asks those members.
What began at a service to which the route no longer leads, at a version that has no upstream left, or where nobody knows, is refused as not run (stream_not_resumable).
- A grant for an upstream of which the entry knows a newer life is handed back, and one of another version is refused, in case that an earlier release dispatches.

placeToResume, latestOrigin and the rates are functions of plain data.

--- a/examples/dispatch_queue.mjs
+++ b/examples/dispatch_queue.mjs
@@ -37,6 +37,7 @@
     isRetry: false,
     excluded: [],
     avoidedZones: [],
+    requiredVersion: null,
   };
   queue.submit(item, answer => console.log(requestId, answer.kind));
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -26,6 +26,11 @@
   NO_UPSTREAM: 'no_upstream',
   BUDGET_SPENT: 'budget_spent',
   NOT_ACCEPTED: 'not_accepted',
+  /**
+   * Where the stream began is not known, or no upstream of that software version
+   * is left.
+   */
+  STREAM_NOT_RESUMABLE: 'stream_not_resumable',
   /** The response was incomplete or invalid; the request may have run. */
   UPSTREAM_FAILED: 'upstream_failed',
   /** The time limit passed before the response; the request may have run. */
@@ -51,6 +56,7 @@
   no_upstream: 503,
   budget_spent: 503,
   not_accepted: 503,
+  stream_not_resumable: 503,
   upstream_failed: 502,
   upstream_timeout: 504,
 } as const;
@@ -68,6 +74,8 @@
   PARTS_CLEARED: 'gateway.parts_cleared',
   CRASH_CAUSES_FOUND: 'gateway.crash_causes_found',
   CRASH_CAUSES: 'gateway.crash_causes',
+  STREAM_BEGAN: 'gateway.stream_began',
+  STREAM_ORIGIN: 'gateway.stream_origin',
 } as const;
 
 /** Interval in milliseconds at which a member asks another for crash causes. */
@@ -76,6 +84,30 @@
 /** Timeout in milliseconds of that call. */
 export const CRASH_CAUSE_PULL_TIMEOUT_MS = 500;
 
+/**
+ * Time in milliseconds for which the origin of a stream is kept: longer than
+ * callers wait for a stream.
+ */
+export const STREAM_ORIGIN_TTL_MS = 120_000;
+
+/** Number of streams whose origins a member keeps; bounds memory. */
+export const MAX_STREAM_ORIGINS = 16_384;
+
+/** Number of other members that get a copy of a stream's origin. */
+export const ORIGIN_COPIES = 2;
+
+/** Number of members that are asked for the origin of a stream. */
+export const ORIGIN_MEMBERS_ASKED = 5;
+
+/** Number of keys that streams are spread over to choose these members. */
+export const ORIGIN_KEY_COUNT = 64;
+
+/** Time in milliseconds that a first event waits for a copy of the origin. */
+export const ORIGIN_SHARE_TIMEOUT_MS = 60;
+
+/** Timeout in milliseconds of asking a member for an origin. */
+export const ORIGIN_LOOKUP_TIMEOUT_MS = 150;
+
 /** Interval in milliseconds at which queues check for expired requests. */
 export const QUEUE_TICK_INTERVAL_MS = 25;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
+import {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
 import {UpstreamRegistry} from './upstream_registry.js';
 import {UsageExchange} from './usage_exchange.js';
@@ -135,6 +136,7 @@
       dispatchClient,
       quotaLedger,
       crashGuard: new CrashGuard(clock, log, members, network, Math.random),
+      streamOrigins: new StreamOriginDirectory(log, members, network),
       limitObserver: new LimitObserver(
         clock,
         log,
@@ -179,6 +181,7 @@
       dispatcher: this.dispatcher,
       usageExchange: this.usageExchange,
       crashGuard: this.context.crashGuard,
+      streamOrigins: this.context.streamOrigins,
       whenConfigured: () => this.whenConfigured(),
     });
     await this.network.listen({...this.peers.handlers, ...handlers});
@@ -209,7 +212,7 @@
 
   /** Replaces the registered upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
-    this.upstreams.replace(upstreams);
+    this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(upstreams);
     this.notifyConfigured();
   }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,6 +8,7 @@
 import type {LimitObserver} from './limit_observer.js';
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
+import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {WireFormat} from './types.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
@@ -24,6 +25,7 @@
   readonly quotaLedger: QuotaLedger;
   readonly crashGuard: CrashGuard;
   readonly limitObserver: LimitObserver;
+  readonly streamOrigins: StreamOriginDirectory;
   /** Pool of keep-alive connections to upstreams. */
   readonly upstreamAgent: Agent;
   readonly upstreams: UpstreamRegistry;
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -104,6 +104,23 @@
     return this.ownMember;
   }
 
+  /**
+   * Members that are not suspected, to keep copies of a key in this order: first
+   * the highest ranked of each zone, since a zone may be lost at once.
+   */
+  holdersOf(key: string): GatewayMember[] {
+    const ranked = this.rankedIds(key)
+      .filter(id => !this.suspectedIds.has(id))
+      .flatMap(id => this.members.get(id) ?? []);
+    const zones = new Set<string>();
+    const firstOfZone = ranked.filter(({zone}) => {
+      const isFirst = !zones.has(zone);
+      zones.add(zone);
+      return isFirst;
+    });
+    return [...new Set([...firstOfZone, ...ranked])];
+  }
+
   /** Whether the given member is this process. */
   isSelf(member: GatewayMember): boolean {
     return member.id === this.ownMember.id;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -30,6 +30,7 @@
     isRetry: z.boolean(),
     excluded: z.array(ID).max(64),
     avoidedZones: z.array(ID).max(64),
+    requiredVersion: ID.nullable().default(null),
   }),
 });
 
@@ -152,3 +153,17 @@
     .array(z.object({part: ID, remainingMs: MILLISECONDS}))
     .max(MAX_CRASH_CAUSES),
 });
+
+const ORIGIN = z.object({service: ID, softwareVersion: ID, send: COUNT});
+
+/** Params of the notice that a stream has begun. */
+export const STREAM_BEGAN_SCHEMA = z.object({requestId: ID, origin: ORIGIN});
+
+/** Answer to that notice. */
+export const ORIGIN_SHARED_SCHEMA = z.literal(true);
+
+/** Params of the question where a stream began. */
+export const STREAM_ORIGIN_SCHEMA = z.object({requestId: ID});
+
+/** Answer to that question; null if it is not known. */
+export const ORIGIN_ANSWER_SCHEMA = z.object({origin: ORIGIN.nullable()});
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -12,8 +12,11 @@
   REPORT_SCHEMA,
   REQUEST_REF_SCHEMA,
   STARTED_SCHEMA,
+  STREAM_BEGAN_SCHEMA,
+  STREAM_ORIGIN_SCHEMA,
   USAGE_REPORT_SCHEMA,
 } from './messages.js';
+import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {UsageExchange} from './usage_exchange.js';
 
 /** Parts of a gateway that its peers access through RPC. */
@@ -21,6 +24,7 @@
   readonly dispatcher: Dispatcher;
   readonly usageExchange: UsageExchange;
   readonly crashGuard: CrashGuard;
+  readonly streamOrigins: StreamOriginDirectory;
   /**
    * Resolves once configuration and upstreams are loaded, at the latest after
    * MAX_STARTUP_WAIT_MS.
@@ -32,7 +36,8 @@
 export function createPeerHandlers(
   dependencies: PeerHandlerDependencies,
 ): PeerHandlers {
-  const {dispatcher, usageExchange, crashGuard, whenConfigured} = dependencies;
+  const {dispatcher, usageExchange, crashGuard, streamOrigins, whenConfigured} =
+    dependencies;
   return {
     [GATEWAY_METHOD.PING]: () => true,
     [GATEWAY_METHOD.GRANT]: withValidatedParams(
@@ -73,5 +78,16 @@
       ({causes}) => crashGuard.adoptCauses(causes),
     ),
     [GATEWAY_METHOD.CRASH_CAUSES]: () => ({causes: crashGuard.causes}),
+    [GATEWAY_METHOD.STREAM_BEGAN]: withValidatedParams(
+      STREAM_BEGAN_SCHEMA,
+      ({requestId, origin}) => {
+        streamOrigins.record(requestId, origin);
+        return true;
+      },
+    ),
+    [GATEWAY_METHOD.STREAM_ORIGIN]: withValidatedParams(
+      STREAM_ORIGIN_SCHEMA,
+      ({requestId}) => ({origin: streamOrigins.get(requestId)}),
+    ),
   };
 }
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -13,11 +13,13 @@
 import {
   callerPatienceMs,
   isRepeatable,
+  isStream,
   sendBufferedResponse,
 } from './open_request.js';
 import {pickTarget} from './route_table.js';
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
+import {placeToResume} from './stream_resumption.js';
 import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import type {BufferedResponse} from './upstream_send.js';
@@ -37,7 +39,7 @@
   private readonly excluded: string[] = [];
   private readonly avoidedZones: string[] = [];
   private readonly progress: StreamProgress;
-  private readonly service: string;
+  private service: string;
 
   constructor(
     private readonly gateway: GatewayContext,
@@ -77,21 +79,36 @@
    * GatewayRefusalError if the request was refused or every attempt failed.
    */
   async run(): Promise<void> {
+    await this.bindToOrigin();
     for (;;) {
       const placed = await this.place();
       if (placed instanceof GatewayRefusalError) {
         if (this.sendErrorResponse()) return;
         throw placed;
       }
-      if (this.gateway.upstreams.isLeaving(placed.upstream)) {
+      const {upstreams} = this.gateway;
+      if (upstreams.isLeaving(placed.upstream)) {
         this.returnGrant(placed, RUN_END.LEAVING);
         continue;
       }
+      if (upstreams.isReplaced(placed.upstream)) {
+        this.returnGrant(placed, RUN_END.REPLACED);
+        continue;
+      }
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
         throw this.createCrashRefusal();
       }
+      // A dispatcher of an earlier release does not heed the required version.
+      const {softwareVersion} = this.progress;
+      if (
+        softwareVersion !== null &&
+        softwareVersion !== placed.upstream.softwareVersion
+      ) {
+        this.returnGrant(placed, RUN_END.CANCELLED);
+        throw this.createNotResumableRefusal();
+      }
       const outcome = await this.attempt(placed);
       if (outcome.isDone) return;
       if (this.canRetry(outcome)) continue;
@@ -100,6 +117,28 @@
     }
   }
 
+  /** Binds a stream that its caller takes up to where it began. */
+  private async bindToOrigin(): Promise<void> {
+    const {admission, head} = this.request;
+    const {lastEventId, resumedRequestId} = head;
+    if (!isStream(admission.route) || lastEventId === null) return;
+    const {streamOrigins, upstreams, clock} = this.gateway;
+    const known =
+      resumedRequestId === null
+        ? null
+        : await streamOrigins.find(resumedRequestId);
+    const place = placeToResume(
+      admission.route,
+      resumedRequestId,
+      known,
+      upstreams.versions,
+      clock.monotonicMs(),
+    );
+    if (!place) throw this.createNotResumableRefusal();
+    this.service = place.service;
+    this.progress.softwareVersion = place.softwareVersion;
+  }
+
   private async attempt(placement: Placement): Promise<SendOutcome> {
     const {route} = this.request.admission;
     const mayRepeat =
@@ -110,7 +149,7 @@
       this.request,
       placement,
       this.progress,
-      mayRepeat,
+      {mayRepeat, service: this.service, send: this.sends},
     );
     const outcome = await attempt.run();
     if (outcome.mayHaveArrived) this.possibleArrivals++;
@@ -131,6 +170,9 @@
   private canRetry(outcome: SendOutcome): boolean {
     const {timer, admission} = this.request;
     if (timer.isOver || this.sends > MAX_REJECTED_SENDS) return false;
+    // Another upstream could only go on if the version that began were known.
+    const {firstEventMs, softwareVersion} = this.progress;
+    if (firstEventMs !== null && softwareVersion === null) return false;
     if (!outcome.mayHaveRun) return true;
     return (
       isRepeatable(admission.route) &&
@@ -156,6 +198,9 @@
     );
     if (answer.kind === 'aborted') return this.createTimeoutRefusal();
     if (answer.kind === 'refused') {
+      if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
+        return this.createNotResumableRefusal();
+      }
       if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
       const leftMs = Math.ceil(timer.remainingMs);
       const retryAfterMs = Math.min(answer.retryAfterMs, leftMs);
@@ -228,6 +273,7 @@
       isRetry: this.possibleArrivals > 0,
       excluded: this.excluded,
       avoidedZones: this.avoidedZones,
+      requiredVersion: this.progress.softwareVersion,
     };
   }
 
@@ -252,6 +298,11 @@
     return new GatewayRefusalError(NOT_ACCEPTED, MIN_RETRY_AFTER_MS);
   }
 
+  private createNotResumableRefusal(): GatewayRefusalError {
+    if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
+    return new GatewayRefusalError(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
+  }
+
   private createCrashRefusal(): GatewayRefusalError {
     if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
     return new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
--- /dev/null
+++ b/packages/gateway/src/stream_origin_directory.ts
@@ -0,0 +1,129 @@
+import type {Logger} from '@fescuespool/common';
+import type {PeerNetwork} from '@fescuespool/transport';
+import {callPeer} from '@fescuespool/transport';
+import {LRUCache} from 'lru-cache';
+import {
+  GATEWAY_METHOD,
+  MAX_STREAM_ORIGINS,
+  ORIGIN_COPIES,
+  ORIGIN_KEY_COUNT,
+  ORIGIN_LOOKUP_TIMEOUT_MS,
+  ORIGIN_MEMBERS_ASKED,
+  ORIGIN_SHARE_TIMEOUT_MS,
+  STREAM_ORIGIN_TTL_MS,
+} from './constants.js';
+import type {MemberDirectory} from './member_directory.js';
+import {ORIGIN_ANSWER_SCHEMA, ORIGIN_SHARED_SCHEMA} from './messages.js';
+import type {StreamOrigin} from './stream_origin.js';
+import {latestOrigin} from './stream_origin.js';
+import type {GatewayMember} from './types.js';
+
+/**
+ * Knows where streams began, so that their callers can resume them through any
+ * member. Copies go to members of several zones, chosen by the request id, and
+ * outlive the member that began the stream.
+ */
+export class StreamOriginDirectory {
+  private readonly origins = new LRUCache<string, StreamOrigin>({
+    max: MAX_STREAM_ORIGINS,
+    ttl: STREAM_ORIGIN_TTL_MS,
+  });
+
+  constructor(
+    private readonly log: Logger,
+    private readonly members: MemberDirectory,
+    private readonly network: PeerNetwork,
+  ) {}
+
+  /** Records an origin here unless that of a later send is known. */
+  record(requestId: string, origin: StreamOrigin): void {
+    const known = this.origins.get(requestId) ?? null;
+    const latest = latestOrigin([origin, known]);
+    if (latest) this.origins.set(requestId, latest);
+  }
+
+  /** The origin of a stream as this member knows it. */
+  get(requestId: string): StreamOrigin | null {
+    return this.origins.get(requestId) ?? null;
+  }
+
+  /**
+   * Records an origin here and at other members. Resolves when one of them has
+   * it, at the latest after ORIGIN_SHARE_TIMEOUT_MS.
+   */
+  async share(requestId: string, origin: StreamOrigin): Promise<void> {
+    this.record(requestId, origin);
+    const holders = this.othersFor(requestId).slice(0, ORIGIN_COPIES);
+    if (holders.length === 0) return;
+    const calls = holders.map(async holder => {
+      const answer = await callPeer(
+        this.network,
+        holder,
+        GATEWAY_METHOD.STREAM_BEGAN,
+        {requestId, origin},
+        ORIGIN_SHARED_SCHEMA,
+        ORIGIN_SHARE_TIMEOUT_MS,
+      );
+      if (answer.isErr()) throw answer.error;
+    });
+    try {
+      await Promise.any(calls);
+    } catch {
+      // The stream is served all the same, but only this member can resume it.
+      this.log.warn('stream_origin_not_shared', {
+        id: requestId,
+        members: holders.map(({id}) => id).join(','),
+      });
+    }
+  }
+
+  /** Finds where a stream began; null if no reachable member knows. */
+  async find(requestId: string): Promise<StreamOrigin | null> {
+    const known = this.get(requestId);
+    if (known) return known;
+    const members = this.othersFor(requestId).slice(0, ORIGIN_MEMBERS_ASKED);
+    const answers = await Promise.all(
+      members.map(member => this.ask(member, requestId)),
+    );
+    const origin = latestOrigin(answers.map(answer => answer?.origin ?? null));
+    this.log.info('stream_origin_asked', {
+      id: requestId,
+      asked: members.length,
+      answered: answers.filter(answer => answer !== null).length,
+      service: origin?.service,
+      version: origin?.softwareVersion,
+    });
+    return origin;
+  }
+
+  private async ask(
+    member: GatewayMember,
+    requestId: string,
+  ): Promise<{origin: StreamOrigin | null} | null> {
+    const answer = await callPeer(
+      this.network,
+      member,
+      GATEWAY_METHOD.STREAM_ORIGIN,
+      {requestId},
+      ORIGIN_ANSWER_SCHEMA,
+      ORIGIN_LOOKUP_TIMEOUT_MS,
+    );
+    return answer.unwrapOr(null);
+  }
+
+  private othersFor(requestId: string): GatewayMember[] {
+    const key = `stream-origins-${bucketOf(requestId)}`;
+    return this.members
+      .holdersOf(key)
+      .filter(member => !this.members.isSelf(member));
+  }
+}
+
+/** Few keys, since the ranking of the members is kept for each. */
+function bucketOf(requestId: string): number {
+  let hash = 0;
+  for (const char of requestId) {
+    hash = (Math.imul(hash, 31) + char.charCodeAt(0)) >>> 0;
+  }
+  return hash % ORIGIN_KEY_COUNT;
+}
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -9,7 +9,10 @@
 export interface StreamProgress {
   /** Identifier of the last event that the caller has received. */
   lastEventId: string | null;
-  /** Software version that sent events in this response; null before. */
+  /**
+   * Software version that began the stream, the only one that can go on; null
+   * before its first event, or if it is not known.
+   */
   softwareVersion: string | null;
   /** Whether the response head has been sent to the caller. */
   hasSentHead: boolean;
@@ -35,6 +38,8 @@
   readonly res: ServerResponse;
   readonly progress: StreamProgress;
   readonly nowMs: () => number;
+  /** Called before the first event is sent on; delays it until it resolves. */
+  readonly beforeFirstEvent: () => Promise<void>;
   /** Sends the response head, before the first event or an empty end. */
   readonly writeHead: () => void;
   readonly onFirstEvent: () => void;
@@ -91,6 +96,7 @@
       if (newEvents.length === 0) continue;
       recordEvents(newEvents.filter(event => event.hasContent).length);
       if (!progress.hasSentHead) {
+        await options.beforeFirstEvent();
         options.writeHead();
         progress.hasSentHead = true;
       }
--- /dev/null
+++ b/packages/gateway/src/stream_resumption.test.ts
@@ -0,0 +1,97 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+import {STREAM_ORIGIN_TTL_MS} from './constants.js';
+import {latestOrigin, VersionHistory} from './stream_origin.js';
+import {placeToResume} from './stream_resumption.js';
+
+const ORIGIN = {service: 'app', softwareVersion: 'v1', send: 1};
+const ROUTE = {targets: [{service: 'app', weight: 1}]};
+const ID = 'request-1';
+
+describe('latestOrigin', () => {
+  it('is that of the last send, whoever answers first', () => {
+    const later = {...ORIGIN, softwareVersion: 'v2', send: 2};
+    expect(latestOrigin([null, ORIGIN, later])).toBe(later);
+    expect(latestOrigin([later, ORIGIN, null])).toBe(later);
+    expect(latestOrigin([null])).toBeNull();
+  });
+});
+
+describe('placeToResume', () => {
+  let versions: VersionHistory;
+
+  beforeEach(() => {
+    versions = new VersionHistory();
+  });
+
+  const see = (nowMs: number, ...seen: (string | null)[]): void =>
+    versions.record(new Map([['app', seen]]), nowMs);
+
+  it('is where the stream began, whatever else serves now', () => {
+    see(0, 'v1', 'v2');
+    expect(placeToResume(ROUTE, ID, ORIGIN, versions, 1)).toMatchObject({
+      service: 'app',
+      softwareVersion: 'v1',
+    });
+  });
+
+  it('is nowhere if the route no longer leads to the service', () => {
+    const moved = {targets: [{service: 'other', weight: 1}]};
+    expect(placeToResume(moved, ID, ORIGIN, versions, 0)).toBeNull();
+    const drained = {
+      targets: [
+        {service: 'app', weight: 0},
+        {service: 'other', weight: 1},
+      ],
+    };
+    expect(placeToResume(drained, ID, ORIGIN, versions, 0)).toBeNull();
+  });
+
+  describe('for a stream whose beginning no member knows', () => {
+    it('is nowhere while the history of versions is too short', () => {
+      see(0, 'v1');
+      expect(placeToResume(ROUTE, ID, null, versions, 1_000)).toBeNull();
+    });
+
+    it('is the only version that there was when it can have begun', () => {
+      see(0, 'v1');
+      const nowMs = STREAM_ORIGIN_TTL_MS + 1;
+      expect(placeToResume(ROUTE, ID, null, versions, nowMs)).toEqual({
+        service: 'app',
+        softwareVersion: 'v1',
+      });
+    });
+
+    it('is nowhere while an earlier version can have begun it', () => {
+      const replacedAtMs = STREAM_ORIGIN_TTL_MS;
+      see(0, 'v1');
+      see(replacedAtMs, 'v2');
+      const endMs = replacedAtMs + STREAM_ORIGIN_TTL_MS;
+      expect(placeToResume(ROUTE, ID, null, versions, endMs)).toBeNull();
+      expect(placeToResume(ROUTE, ID, null, versions, endMs + 1)).toEqual({
+        service: 'app',
+        softwareVersion: 'v2',
+      });
+    });
+  });
+
+  describe('for a stream that its caller does not name', () => {
+    it('is the only version seen so far', () => {
+      see(0, 'v1', 'v1');
+      expect(placeToResume(ROUTE, null, null, versions, 1)).toMatchObject({
+        softwareVersion: 'v1',
+      });
+    });
+
+    it('is nowhere with two versions, one unknown, or two services', () => {
+      see(0, 'v1', 'v2');
+      expect(placeToResume(ROUTE, null, null, versions, 1)).toBeNull();
+      versions = new VersionHistory();
+      see(0, 'v1', null);
+      expect(placeToResume(ROUTE, null, null, versions, 1)).toBeNull();
+      versions = new VersionHistory();
+      see(0, 'v1');
+      const split = {targets: [...ROUTE.targets, {service: 'b', weight: 1}]};
+      expect(placeToResume(split, null, null, versions, 1)).toBeNull();
+    });
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/stream_resumption.ts
@@ -0,0 +1,29 @@
+import type {StreamOrigin, VersionHistory} from './stream_origin.js';
+import type {Route} from './types.js';
+
+/** The service and software version at which a stream goes on. */
+export type ResumePlace = Pick<StreamOrigin, 'service' | 'softwareVersion'>;
+
+/**
+ * Decides where a stream that its caller takes up goes on; null if it can't.
+ * `known` is its origin, or null if no reachable member knows it.
+ */
+export function placeToResume(
+  {targets}: Pick<Route, 'targets'>,
+  resumedRequestId: string | null,
+  known: StreamOrigin | null,
+  versions: VersionHistory,
+  nowMs: number,
+): ResumePlace | null {
+  const services = targets
+    .filter(({weight}) => weight > 0)
+    .map(({service}) => service);
+  if (known) return services.includes(known.service) ? known : null;
+  const [service] = services;
+  if (service === undefined || services.length > 1) return null;
+  // If there was one version only, the stream began at it. Callers that don't
+  // name their stream are served by what this member has seen so far.
+  if (resumedRequestId !== null && !versions.isComplete(nowMs)) return null;
+  const softwareVersion = versions.soleVersionOf(service, nowMs);
+  return softwareVersion === null ? null : {service, softwareVersion};
+}
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -20,6 +20,7 @@
 import {COMPLETED, failedRun, notRun} from './send_outcome.js';
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
+import {StreamVersionTracker} from './stream_version_tracker.js';
 import type {Route, UpstreamResponseHead} from './types.js';
 import type {SendResult} from './upstream_send.js';
 import {
@@ -42,6 +43,15 @@
   ZONE_UNREACHABLE: 'zone_unreachable',
 } as const;
 
+/** The send's place in its request. */
+export interface AttemptOptions {
+  /** Whether the request may run again, so that this send may time out. */
+  readonly mayRepeat: boolean;
+  readonly service: string;
+  /** Number of the send, from 1. */
+  readonly send: number;
+}
+
 /** Sends a request once, to the upstream that it was placed on. */
 export class UpstreamAttempt {
   private sentAtMs = 0;
@@ -56,8 +66,7 @@
     private readonly request: OpenRequest,
     private readonly placement: Placement,
     private readonly progress: StreamProgress,
-    /** Whether the request may run again, so that this send may time out. */
-    private readonly mayRepeat: boolean,
+    private readonly options: AttemptOptions,
   ) {
     this.routeLabels = routeLabels(request.admission.route);
     this.upstreamState = placement.isOnTrial ? 'on_trial' : 'sound';
@@ -119,7 +128,9 @@
         body,
         // A reset on a reused connection leaves open whether the request ran.
         agent: isRepeatable(admission.route) ? upstreamAgent : null,
-        startTimeoutMs: this.mayRepeat ? Math.round(startTimeoutMs) : null,
+        startTimeoutMs: this.options.mayRepeat
+          ? Math.round(startTimeoutMs)
+          : null,
         signal: timer.signal,
       },
       wireFormat,
@@ -205,10 +216,18 @@
   private async relay(exchange: HttpExchange): Promise<SendOutcome> {
     const {res, admission} = this.request;
     const {wireFormat, clock} = this.gateway;
+    const versionTracker = new StreamVersionTracker(
+      this.gateway,
+      this.request,
+      this.progress,
+      {upstream: this.placement.upstream, ...this.options},
+    );
+    const originShared = versionTracker.shareOrigin();
     const result = await relayStream(exchange, {
       res,
       progress: this.progress,
       nowMs: clock.monotonicMs,
+      beforeFirstEvent: () => originShared,
       writeHead: () => {
         const headers = wireFormat.callerResponseHeaders(
           exchange.res.rawHeaders,
@@ -216,11 +235,13 @@
         res.writeHead(exchange.res.statusCode ?? OK, headers);
       },
       onFirstEvent: () => {
-        this.recordVersion();
+        versionTracker.recordFirstEvent();
         this.reportStart(this.reportedLoad);
       },
       onSurvival: () => this.recordSurvival(),
-      idleTimeoutMs: this.mayRepeat ? eventTimeoutMs(admission.route) : null,
+      idleTimeoutMs: this.options.mayRepeat
+        ? eventTimeoutMs(admission.route)
+        : null,
     });
     return this.handleRelayResult(exchange, result);
   }
@@ -270,30 +291,6 @@
     return {...outcome, errorResponse: meansNotRun ? null : response};
   }
 
-  /** Notes which software version sends events, before the first is sent on. */
-  private recordVersion(): void {
-    const {progress} = this;
-    const {instanceId, softwareVersion} = this.placement.upstream;
-    const beganAt = progress.softwareVersion;
-    progress.softwareVersion = softwareVersion;
-    if (progress.lastEventId === null) return;
-    const {requestId, resumedRequestId} = this.request.head;
-    this.gateway.log.info('stream_resumed', {
-      id: requestId,
-      resumes: resumedRequestId ?? undefined,
-      by: progress.hasSentHead ? 'gateway' : 'caller',
-      after: progress.lastEventId,
-      upstream: instanceId,
-      version: softwareVersion ?? undefined,
-      beganAt: beganAt ?? undefined,
-    });
-    this.gateway.metrics.recordResume(
-      this.routeLabels,
-      progress.hasSentHead ? 'gateway' : 'caller',
-      toVersionMatch(beganAt, softwareVersion),
-    );
-  }
-
   private recordSurvival(): void {
     if (this.progress.hasSurvived) return;
     this.progress.hasSurvived = true;
@@ -372,15 +369,6 @@
   }
 }
 
-/** Metric label: whether a stream goes on at the version that began it. */
-function toVersionMatch(
-  beganAt: string | null,
-  version: string | null,
-): 'same' | 'other' | 'unknown' {
-  if (beganAt === null || version === null) return 'unknown';
-  return beganAt === version ? 'same' : 'other';
-}
-
 function hasBodyHeaders(req: IncomingMessage): boolean {
   return (
     req.headers['content-length'] !== undefined ||
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -2,6 +2,7 @@
 import {LRUCache} from 'lru-cache';
 import {MAX_REMOVED_UPSTREAMS} from './constants.js';
 import type {UpstreamsByService} from './dispatcher.js';
+import {VersionHistory} from './stream_origin.js';
 
 /** Sorts an upstream behind those that have not been used yet. */
 const CONNECTION_FAILED = -1;
@@ -9,6 +10,8 @@
 /** Tracks the currently registered upstreams and recently removed ones. */
 export class UpstreamRegistry {
   private readonly byId = new Map<string, UpstreamSpec>();
+  /** Software versions of the services. */
+  readonly versions = new VersionHistory();
   private readonly serviceById = new Map<string, string>();
   /**
    * Monotonic milliseconds of each upstream's last complete response, or
@@ -25,9 +28,10 @@
   }
 
   /**
-   * Replaces the registered upstreams and remembers those that were removed.
+   * Replaces the registered upstreams and remembers those that were removed, at a
+   * monotonic time in milliseconds.
    */
-  replace(upstreams: UpstreamsByService): void {
+  replace(upstreams: UpstreamsByService, nowMs: number): void {
     const previousIds = [...this.byId.keys()];
     this.byId.clear();
     this.serviceById.clear();
@@ -37,6 +41,15 @@
         this.serviceById.set(spec.instanceId, service);
       }
     }
+    this.versions.record(
+      new Map(
+        [...upstreams].map(([service, specs]) => [
+          service,
+          specs.map(({softwareVersion}) => softwareVersion),
+        ]),
+      ),
+      nowMs,
+    );
     for (const id of previousIds) {
       if (this.byId.has(id)) continue;
       this.removed.set(id, true);
@@ -67,6 +80,19 @@
     return this.byId.get(instanceId)?.isLeaving ?? this.removed.has(instanceId);
   }
 
+  /**
+   * Whether a newer life of an upstream is registered here than the one given,
+   * which may run other software.
+   */
+  isReplaced({instanceId, startedAtUnixMs, address}: UpstreamSpec): boolean {
+    const registered = this.byId.get(instanceId);
+    if (!registered) return false;
+    return (
+      registered.address !== address ||
+      (registered.startedAtUnixMs ?? 0) > (startedAtUnixMs ?? 0)
+    );
+  }
+
   /**
    * Up to `limit` other upstreams in the same zone that are not leaving, first
    * those that responded last, since some of the others may be down.
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -28,6 +28,8 @@
   EXPIRED: 'expired',
   /** The service has no upstream. */
   NO_UPSTREAM: 'no_upstream',
+  /** No upstream has the software version that began the stream. */
+  NO_VERSION: 'no_version',
   /** The retry budget of the service is spent. */
   BUDGET_SPENT: 'budget_spent',
 } as const;
@@ -35,7 +37,10 @@
 /** Maximum number of requests in one queue; bounds memory. */
 export const MAX_WAITING = 4_000;
 
-/** Maximum number of requests that one placement pass checks; bounds its time. */
+/**
+ * Maximum number of requests that one placement pass checks, without those that
+ * need a software version which has no room; bounds its time.
+ */
 export const PLACEMENT_WINDOW = 32;
 
 /** Weight of a new sample in average times: adapts within about four runs. */
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -44,6 +44,7 @@
     isRetry: false,
     excluded: [],
     avoidedZones: [],
+    requiredVersion: null,
     ...changes,
   };
 }
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -15,6 +15,8 @@
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
+import type {RateEstimator} from './placement_rate.js';
+import {createRateEstimator} from './placement_rate.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndReport,
@@ -25,7 +27,7 @@
   UpstreamSpec,
 } from './types.js';
 import type {Candidate} from './upstream_choice.js';
-import {UpstreamChooser} from './upstream_choice.js';
+import {hasRequiredVersion, UpstreamChooser} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
 import type {WaitingRequest} from './waiting_list.js';
@@ -202,11 +204,9 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
-    const unplaceable = this.waiting.takeUnplaceable(
-      now,
-      this.placementsPerMs(now),
-      this.firstPlacementInMs(now),
-    );
+    const rateFor = this.rateEstimator(now);
+    const unplaceable = this.waiting.takeUnplaceable(now, rateFor);
+    this.refuseWithoutVersion();
     for (const waiting of unplaceable) {
       const isExpired = waiting.placementDeadlineMs <= now;
       const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
@@ -230,10 +230,28 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
+  /** Refuses requests whose software version no upstream has any more. */
+  private refuseWithoutVersion(): void {
+    const {NO_VERSION} = QUEUE_REFUSAL;
+    const lost = this.waiting.takeWhere(
+      ({request}) => !this.hasVersion(request),
+    );
+    for (const waiting of lost) this.refuse(waiting, NO_VERSION);
+  }
+
+  /** Whether any upstream that stays may serve the request by its version. */
+  private hasVersion(request: GrantRequest): boolean {
+    if (request.requiredVersion === null) return true;
+    return [...this.upstreams.values()].some(
+      ({spec}) => !spec.isLeaving && hasRequiredVersion(request, spec),
+    );
+  }
+
   /** Reason to refuse a new request, or null if it may be queued. */
   private admit(waiting: WaitingRequest, now: number): QueueRefusal | null {
     const {request, placementDeadlineMs} = waiting;
     if (this.upstreams.size === 0) return QUEUE_REFUSAL.NO_UPSTREAM;
+    if (!this.hasVersion(request)) return QUEUE_REFUSAL.NO_VERSION;
     if (placementDeadlineMs <= now) return QUEUE_REFUSAL.EXPIRED;
     if (this.waiting.size >= MAX_WAITING) {
       const last = this.waiting.takeLastBelowTier(request.tier);
@@ -260,26 +278,18 @@
 
   /** Expected milliseconds until the requests ahead of this one are placed. */
   private expectedWaitMs(waiting: WaitingRequest, now: number): number {
-    const ahead = this.waiting.countBefore(waiting);
-    const firstInMs = this.firstPlacementInMs(now);
-    if (ahead === 0) return firstInMs;
-    const perMs = this.placementsPerMs(now);
-    return perMs === 0 ? MAX_RETRY_AFTER_MS : firstInMs + ahead / perMs;
-  }
-
-  private placementsPerMs(now: number): number {
-    return this.latency.placementsPerMs(this.usable(now), ({spec}) =>
-      this.options.rateLimiter.maxPerMs(spec, now),
-    );
+    const rateFor = this.rateEstimator(now);
+    return this.waiting.expectedWaitMs(waiting, rateFor, MAX_RETRY_AFTER_MS);
   }
 
-  /** Milliseconds until the rate limit of any usable upstream permits a grant. */
-  private firstPlacementInMs(now: number): number {
-    const {rateLimiter} = this.options;
-    const waits = this.usable(now).map(({spec}) =>
-      rateLimiter.waitMs(spec, now),
+  private rateEstimator(now: number): RateEstimator {
+    return createRateEstimator(
+      this.usable(now),
+      this.waiting.requiredVersions,
+      this.latency,
+      this.options.rateLimiter,
+      now,
     );
-    return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
   private hasRoom(state: UpstreamState, now: number): boolean {
@@ -298,7 +308,10 @@
     const now = this.options.nowMs();
     const usable = this.usable(now);
     let free = usable.filter(state => this.hasRoom(state, now));
-    for (const waiting of this.waiting.peek(PLACEMENT_WINDOW)) {
+    const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
+      free.some(({spec}) => hasRequiredVersion(request, spec)),
+    );
+    for (const waiting of waitingRequests) {
       if (free.length === 0) return;
       const choice = this.chooser.choose(waiting, usable, free, now);
       if (choice === 'late') {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -2,6 +2,7 @@
 export * from './dispatch_queue.js';
 export * from './entry_monitor.js';
 export * from './latency_estimator.js';
+export * from './placement_rate.js';
 export * from './retry_budget.js';
 export * from './start_time_model.js';
 export * from './token_quota.js';
--- a/packages/scheduling/src/limited_upstreams.test.ts
+++ b/packages/scheduling/src/limited_upstreams.test.ts
@@ -59,6 +59,7 @@
         isRetry: false,
         excluded: [],
         avoidedZones: [],
+        requiredVersion: null,
         ...changes,
       },
       answer => answers.set(requestId, answer),
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -30,6 +30,11 @@
   readonly excluded: readonly string[];
   /** Other availability zones where a connection of this request broke. */
   readonly avoidedZones: readonly string[];
+  /**
+   * Software version that began the stream to go on with; null for a request
+   * that any upstream may run.
+   */
+  readonly requiredVersion: string | null;
 }
 
 /** An upstream as listed in the registry. */
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -5,7 +5,7 @@
   RUN_TIME_WEIGHT,
 } from './constants.js';
 import type {LatencyEstimator} from './latency_estimator.js';
-import type {GrantRequest} from './types.js';
+import type {GrantRequest, UpstreamSpec} from './types.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import type {UpstreamState} from './upstream_state.js';
 import type {WaitingRequest} from './waiting_list.js';
@@ -24,6 +24,14 @@
  */
 export type UpstreamChoice = Candidate | 'wait' | 'late';
 
+/** Whether an upstream has the software version that a request needs. */
+export function hasRequiredVersion(
+  {requiredVersion}: GrantRequest,
+  {softwareVersion}: UpstreamSpec,
+): boolean {
+  return requiredVersion === null || requiredVersion === softwareVersion;
+}
+
 /** Chooses upstreams for waiting requests by their estimated cost. */
 export class UpstreamChooser {
   constructor(
@@ -38,11 +46,15 @@
    */
   choose(
     waiting: WaitingRequest,
-    usable: readonly UpstreamState[],
-    free: readonly UpstreamState[],
+    usableStates: readonly UpstreamState[],
+    freeStates: readonly UpstreamState[],
     nowMs: number,
   ): UpstreamChoice {
     const {request} = waiting;
+    const canServe = ({spec}: UpstreamState): boolean =>
+      hasRequiredVersion(request, spec);
+    const usable = usableStates.filter(canServe);
+    const free = freeStates.filter(canServe);
     const leftToPlaceMs = waiting.placementDeadlineMs - nowMs;
     const reachable = usable.filter(({spec}) => {
       const waitMs = this.rateLimiter.waitMs(spec, nowMs);
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -1,3 +1,5 @@
+import type {RateEstimator} from './placement_rate.js';
+import {AheadCounter} from './placement_rate.js';
 import type {GrantRequest, QueueAnswer} from './types.js';
 
 /** A waiting request with its deadlines, in monotonic milliseconds. */
@@ -17,22 +19,31 @@
 }
 
 /**
- * Orders requests by tier, then those that can meet their objective first, then
- * those that were refused before, then by the earliest objective or, where late,
- * the earliest placement deadline.
+ * Orders requests by tier, then streams that have begun first, which can use few
+ * upstreams, then those that can meet their objective, then those that were
+ * refused before, then by the earliest objective or, where late, the earliest
+ * placement deadline.
  */
 function compare(a: WaitingRequest, b: WaitingRequest): number {
   if (a.request.tier !== b.request.tier) return a.request.tier - b.request.tier;
+  const isBound = isBoundToVersion(a);
+  if (isBound !== isBoundToVersion(b)) return isBound ? -1 : 1;
   if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
   if (a.wasRefused !== b.wasRefused) return a.wasRefused ? -1 : 1;
   if (a.isLate) return a.placementDeadlineMs - b.placementDeadlineMs;
   return a.objectiveAtMs - b.objectiveAtMs;
 }
 
+function isBoundToVersion({request}: WaitingRequest): boolean {
+  return request.requiredVersion !== null;
+}
+
 /** Waiting requests in placement order. */
 export class WaitingList {
   private readonly requests: WaitingRequest[] = [];
   private readonly byId = new Map<string, WaitingRequest>();
+  /** Number of requests that need a software version. */
+  private boundCount = 0;
 
   /** Number of waiting requests. */
   get size(): number {
@@ -43,6 +54,7 @@
   add(waiting: WaitingRequest): void {
     this.remove(waiting.request.requestId);
     this.byId.set(waiting.request.requestId, waiting);
+    if (isBoundToVersion(waiting)) this.boundCount++;
     this.requests.splice(this.insertionIndexOf(waiting), 0, waiting);
   }
 
@@ -51,6 +63,7 @@
     const waiting = this.byId.get(requestId);
     if (!waiting) return;
     this.byId.delete(requestId);
+    if (isBoundToVersion(waiting)) this.boundCount--;
     this.requests.splice(this.requests.indexOf(waiting), 1);
   }
 
@@ -62,14 +75,58 @@
     this.add(waiting);
   }
 
-  /** Copies the first requests, so that the list may change meanwhile. */
-  peek(count: number): WaitingRequest[] {
-    return this.requests.slice(0, count);
+  /**
+   * Copies the first requests that meet a condition, so that the list may change
+   * meanwhile.
+   */
+  peek(
+    count: number,
+    condition: (waiting: WaitingRequest) => boolean,
+  ): WaitingRequest[] {
+    const found: WaitingRequest[] = [];
+    for (const waiting of this.requests) {
+      if (found.length === count) break;
+      if (condition(waiting)) found.push(waiting);
+    }
+    return found;
   }
 
-  /** Number of waiting requests that would be placed before this one. */
-  countBefore(waiting: WaitingRequest): number {
-    return this.insertionIndexOf(waiting);
+  /** Software versions that waiting requests need. */
+  get requiredVersions(): Set<string> {
+    const versions = new Set<string>();
+    if (this.boundCount === 0) return versions;
+    for (const {request} of this.requests) {
+      if (request.requiredVersion !== null)
+        versions.add(request.requiredVersion);
+    }
+    return versions;
+  }
+
+  /**
+   * Milliseconds until this request is placed, behind those before it;
+   * `unknownWaitMs` if that can't be predicted.
+   */
+  expectedWaitMs(
+    waiting: WaitingRequest,
+    rateFor: RateEstimator,
+    unknownWaitMs: number,
+  ): number {
+    const index = this.insertionIndexOf(waiting);
+    const counter = new AheadCounter();
+    if (this.boundCount === 0) counter.addUnbound(index);
+    else
+      this.requests
+        .slice(0, index)
+        .forEach(ahead => counter.add(ahead.request));
+    const {request} = waiting;
+    return counter.waitMs(request, rateFor(request), unknownWaitMs);
+  }
+
+  /** Removes and returns the requests that meet a condition. */
+  takeWhere(condition: (waiting: WaitingRequest) => boolean): WaitingRequest[] {
+    const taken = this.requests.filter(condition);
+    for (const waiting of taken) this.remove(waiting.request.requestId);
+    return taken;
   }
 
   /** Removes and returns the last request if its tier number is above `tier`. */
@@ -81,20 +138,16 @@
   }
 
   /**
-   * Removes and returns the requests that will miss their placement deadline if
-   * `placementsPerMs` are placed per millisecond, the first in `firstInMs`.
+   * Removes and returns the requests that will miss their placement deadline at
+   * the given rates.
    */
-  takeUnplaceable(
-    nowMs: number,
-    placementsPerMs: number,
-    firstInMs: number,
-  ): WaitingRequest[] {
+  takeUnplaceable(nowMs: number, rateFor: RateEstimator): WaitingRequest[] {
     const unplaceable: WaitingRequest[] = [];
-    let ahead = 0;
+    const counter = new AheadCounter();
     for (const waiting of this.requests) {
-      const waitMs = placementsPerMs > 0 ? ahead / placementsPerMs : 0;
-      const placedAtMs = nowMs + firstInMs + waitMs;
-      if (placedAtMs < waiting.placementDeadlineMs) ahead++;
+      const {request, placementDeadlineMs} = waiting;
+      const waitMs = counter.waitMs(request, rateFor(request), 0);
+      if (nowMs + waitMs < placementDeadlineMs) counter.add(request);
       else unplaceable.push(waiting);
     }
     for (const waiting of unplaceable) this.remove(waiting.request.requestId);
@@ -104,6 +157,7 @@
   /** Removes and returns all requests. */
   takeAll(): WaitingRequest[] {
     this.byId.clear();
+    this.boundCount = 0;
     return this.requests.splice(0);
   }
 
