Do not resume streams at an upstream that has started again

An upstream may start again under the id that it had, at the same address and with other software, before its entry changes or while the store is away: the expected instance still fits, so that a stream would go on at a version that did not begin it. Before a send that is bound to a version the gateway asks the upstream when it started and compares that with the entry; another life, or no answer, and the grant is handed back for another upstream. One that does not tell is trusted, as before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -102,6 +102,12 @@
 /** Number of keys that streams are spread over to choose these members. */
 export const ORIGIN_KEY_COUNT = 64;
 
+/** Timeout in milliseconds of asking an upstream when it started. */
+export const LIFE_CHECK_TIMEOUT_MS = 250;
+
+/** Largest response in bytes to that question. */
+export const MAX_LIFE_RESPONSE_BYTES = 262_144;
+
 /** Time in milliseconds that a first event waits for a copy of the origin. */
 export const ORIGIN_SHARE_TIMEOUT_MS = 60;
 
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -22,6 +22,7 @@
 import {placeToResume} from './stream_resumption.js';
 import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
+import {checkLife} from './upstream_life.js';
 import type {BufferedResponse} from './upstream_send.js';
 
 /**
@@ -100,15 +101,7 @@
         this.returnGrant(placed, RUN_END.CANCELLED);
         throw this.createCrashRefusal();
       }
-      // A dispatcher of an earlier release does not heed the required version.
-      const {softwareVersion} = this.progress;
-      if (
-        softwareVersion !== null &&
-        softwareVersion !== placed.upstream.softwareVersion
-      ) {
-        this.returnGrant(placed, RUN_END.CANCELLED);
-        throw this.createNotResumableRefusal();
-      }
+      if (!(await this.isAtRequiredVersion(placed))) continue;
       const outcome = await this.attempt(placed);
       if (outcome.isDone) return;
       if (this.canRetry(outcome)) continue;
@@ -139,6 +132,36 @@
     this.progress.softwareVersion = place.softwareVersion;
   }
 
+  /**
+   * Whether an upstream has the version that a stream is bound to; if not, its
+   * grant has been returned. Throws a GatewayRefusalError if another can't help.
+   */
+  private async isAtRequiredVersion(placement: Placement): Promise<boolean> {
+    const {softwareVersion} = this.progress;
+    if (softwareVersion === null) return true;
+    const {upstream} = placement;
+    // A dispatcher of an earlier release does not heed the required version.
+    if (softwareVersion !== upstream.softwareVersion) {
+      this.returnGrant(placement, RUN_END.CANCELLED);
+      throw this.createNotResumableRefusal();
+    }
+    const {wireFormat, upstreamAgent, log} = this.gateway;
+    const {signal} = this.request.timer;
+    const life = await checkLife(upstream, wireFormat, upstreamAgent, signal);
+    if (life === 'same') return true;
+    const {requestId} = this.request.head;
+    log.warn('upstream_life_unconfirmed', {
+      id: requestId,
+      upstream: upstream.instanceId,
+      life,
+    });
+    const {REPLACED, UNREACHABLE, CANCELLED} = RUN_END;
+    const end = life === 'replaced' ? REPLACED : UNREACHABLE;
+    this.returnGrant(placement, signal.aborted ? CANCELLED : end);
+    this.excluded.push(upstream.instanceId);
+    return false;
+  }
+
   private async attempt(placement: Placement): Promise<SendOutcome> {
     const {route} = this.request.admission;
     const mayRepeat =
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -134,6 +134,10 @@
    * Headers of the response to the caller, as a flat list of names and values.
    */
   readonly callerResponseHeaders: (rawHeaders: readonly string[]) => string[];
+  /** Path at which upstreams tell when they started; null if they don't. */
+  readonly startTimePath: string | null;
+  /** Parses that response: Unix milliseconds, or null if it does not tell. */
+  readonly parseStartTime: (body: string) => number | null;
   /**
    * Headers of a response that the gateway generates itself, as a flat list.
    */
--- /dev/null
+++ b/packages/gateway/src/upstream_life.ts
@@ -0,0 +1,61 @@
+import type {UpstreamSpec} from '@fescuespool/scheduling';
+import {openExchange, readBody} from '@fescuespool/transport';
+import type {Agent} from 'node:http';
+import {
+  LIFE_CHECK_TIMEOUT_MS,
+  MAX_LIFE_RESPONSE_BYTES,
+  UPSTREAM_CONNECT_TIMEOUT_MS,
+} from './constants.js';
+import type {WireFormat} from './types.js';
+
+const OK = 200;
+
+/** What is known of the life of an upstream that has its registered id. */
+export type LifeCheck = 'same' | 'replaced' | 'unreachable';
+
+/**
+ * Whether an upstream that says when it started is in its registered life. One
+ * that doesn't say counts as the same.
+ */
+export function compareLives(
+  registeredUnixMs: number | null,
+  reportedUnixMs: number | null,
+): LifeCheck {
+  if (registeredUnixMs === null || reportedUnixMs === null) return 'same';
+  return registeredUnixMs === reportedUnixMs ? 'same' : 'replaced';
+}
+
+/**
+ * Asks an upstream when it started. It may have started again under its id, with
+ * other software, before its entry has changed.
+ */
+export async function checkLife(
+  upstream: UpstreamSpec,
+  {startTimePath, parseStartTime}: WireFormat,
+  agent: Agent,
+  signal: AbortSignal,
+): Promise<LifeCheck> {
+  if (startTimePath === null || upstream.startedAtUnixMs === null) {
+    return 'same';
+  }
+  const opened = await openExchange({
+    url: `http://${upstream.address}${startTimePath}`,
+    method: 'GET',
+    agent,
+    connectTimeoutMs: UPSTREAM_CONNECT_TIMEOUT_MS,
+    responseTimeoutMs: LIFE_CHECK_TIMEOUT_MS,
+    signal,
+  });
+  if (opened.isErr()) return 'unreachable';
+  const {res} = opened.value;
+  try {
+    const body = await readBody(res, MAX_LIFE_RESPONSE_BYTES);
+    // Some kinds of upstreams don't tell.
+    if (res.statusCode !== OK) return 'same';
+    const startedAtUnixMs = parseStartTime(body.toString());
+    return compareLives(upstream.startedAtUnixMs, startedAtUnixMs);
+  } catch {
+    opened.value.abort();
+    return 'unreachable';
+  }
+}
