Return a grant only if a newer life of its upstream is registered

isReplaced also took an upstream at another address than the registered one for replaced, although the dispatcher's list may be the newer one; the start time tells which. The comment of UsageExchange is wrapped again.

--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -84,13 +84,10 @@
    * Whether a newer life of an upstream is registered here than the one given,
    * which may run other software.
    */
-  isReplaced({instanceId, startedAtUnixMs, address}: UpstreamSpec): boolean {
+  isReplaced({instanceId, startedAtUnixMs}: UpstreamSpec): boolean {
     const registered = this.byId.get(instanceId);
-    if (!registered) return false;
-    return (
-      registered.address !== address ||
-      (registered.startedAtUnixMs ?? 0) > (startedAtUnixMs ?? 0)
-    );
+    // A granted upstream may also be newer than this member's list.
+    return (registered?.startedAtUnixMs ?? 0) > (startedAtUnixMs ?? 0);
   }
 
   /**
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -20,9 +20,10 @@
 
 /**
  * Exchanges the usage of quotas and rate limits with the other members through
- * the usage hub: reports what was charged here and deducts what the others used. An unreachable member
- * may still use its share of every quota, so the members that reach each other
- * keep to the remaining shares, and an isolated member keeps to its own.
+ * the usage hub: reports what was charged here and deducts what the others used.
+ * An unreachable member may still use its share of every quota, so the members
+ * that reach each other keep to the remaining shares, and an isolated member
+ * keeps to its own.
  */
 export class UsageExchange {
   private readonly hub = new UsageHub(
