--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -1,94 +1,12 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {QUEUE_REFUSAL, RUN_END} from './constants.js';
-import {DispatchQueue} from './dispatch_queue.js';
-import {RetryBudget} from './retry_budget.js';
-import type {
-  GrantRequest,
-  Placement,
-  QueueAnswer,
-  RunEnd,
-  UpstreamSpec,
-} from './types.js';
-import {UpstreamLimits} from './upstream_limits.js';
-import {UpstreamRateLimiter} from './upstream_rate_limiter.js';
-
-const ENTRY = 'entry-1';
-
-function upstream(id: string, slots = 1): UpstreamSpec {
-  return {
-    instanceId: id,
-    address: '10.0.0.1:80',
-    zone: 'a',
-    slots,
-    isLeaving: false,
-    startedAtUnixMs: 1,
-    softwareVersion: null,
-  };
-}
-
-function grantRequest(
-  id: string,
-  changes: Partial<GrantRequest> = {},
-): GrantRequest {
-  return {
-    requestId: id,
-    entryId: ENTRY,
-    zone: 'a',
-    tier: 1,
-    fingerprint: id,
-    promptTokens: 0,
-    objectiveLeftMs: 1_000,
-    patienceLeftMs: 4_000,
-    isRepeatable: true,
-    isRetry: false,
-    excluded: [],
-    avoidedZones: [],
-    requiredVersion: null,
-    ...changes,
-  };
-}
-
-/** A queue with a manual clock that records the answers and their order. */
-class QueueHarness {
-  nowMs = 0;
-  readonly answers = new Map<string, QueueAnswer>();
-  readonly order: string[] = [];
-  readonly limits = new UpstreamLimits();
-  readonly queue: DispatchQueue;
-
-  constructor(specs: UpstreamSpec[], extraRetries = 100) {
-    const budget = {ratio: 0, extra: extraRetries, windowMs: 10_000};
-    this.queue = new DispatchQueue({
-      nowMs: () => this.nowMs,
-      retryBudget: new RetryBudget(budget),
-      rateLimiter: new UpstreamRateLimiter(this.limits),
-    });
-    this.queue.setUpstreams(specs);
-  }
-
-  submit(request: GrantRequest): void {
-    this.queue.submit(request, answer => {
-      this.answers.set(request.requestId, answer);
-      if (answer.kind === 'placed') this.order.push(request.requestId);
-    });
-  }
-
-  end(requestId: string, end: RunEnd = RUN_END.COMPLETED, runMs = 100): void {
-    const report = {requestId, end, runMs, eventGapMs: null, load: null};
-    this.queue.handleEndReport(report);
-  }
-
-  advance(ms: number): void {
-    this.nowMs += ms;
-    this.queue.tick();
-  }
-
-  placementOf(id: string): Placement | null {
-    const answer = this.answers.get(id);
-    return answer?.kind === 'placed' ? answer.placement : null;
-  }
-}
+import {
+  ENTRY,
+  grantRequest,
+  QueueHarness,
+  upstream,
+} from './test_support/queue_harness.js';
 
 describe('DispatchQueue', () => {
   describe('order', () => {
