Give upstreams longer to say when they started

Their logs, from a repeat beside the same load, show upstream_life_unconfirmed with life=unreachable for 16 resumes at sound engines: they did not answer within 250 ms, so that their grants were handed back. The timeout is as long now as the shortest for the first byte of a stream, 900 ms; refused connections are known at once as before.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -103,7 +103,7 @@
 export const ORIGIN_KEY_COUNT = 64;
 
 /** Timeout in milliseconds of asking an upstream when it started. */
-export const LIFE_CHECK_TIMEOUT_MS = 250;
+export const LIFE_CHECK_TIMEOUT_MS = 900;
 
 /** Largest response in bytes to that question. */
 export const MAX_LIFE_RESPONSE_BYTES = 262_144;
