Do less at each placement when no upstream has a limit

- A placing pass without room ends before it looks through the waiting list.
- The limit of an upstream is looked up only if any has one; what it told this gateway is found by its key, no longer by a search at each response.
- One function gives the key of an upstream's life, which stood twice.

--- a/packages/gateway/src/limit_observer.ts
+++ b/packages/gateway/src/limit_observer.ts
@@ -58,15 +58,9 @@
   }
 
   /** Limit in requests per second that an upstream last told this gateway. */
-  limitToldBy({instanceId, startedAtUnixMs}: UpstreamSpec): number | null {
+  limitToldBy(upstream: UpstreamSpec): number | null {
     const nowMs = this.clock.monotonicMs();
-    const told = this.limits
-      .statementsTo(this.memberId, nowMs)
-      .find(
-        statement =>
-          statement.instanceId === instanceId &&
-          statement.startedAtUnixMs === startedAtUnixMs,
-      );
+    const told = this.limits.statementTo(this.memberId, upstream, nowMs);
     return told?.perSecond ?? null;
   }
 }
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -204,14 +204,7 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
-    const rateFor = this.rateEstimator(now);
-    const unplaceable = this.waiting.takeUnplaceable(now, rateFor);
-    this.refuseWithoutVersion();
-    for (const waiting of unplaceable) {
-      const isExpired = waiting.placementDeadlineMs <= now;
-      const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
-      this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
-    }
+    if (this.waiting.size > 0) this.refuseUnplaceable(now);
     this.entryMonitor.dropRuns(
       this.upstreams.values(),
       now,
@@ -230,13 +223,19 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  /** Refuses requests whose software version no upstream has any more. */
-  private refuseWithoutVersion(): void {
-    const {NO_VERSION} = QUEUE_REFUSAL;
+  /** Refuses requests that can't start in time, or whose version has gone. */
+  private refuseUnplaceable(now: number): void {
+    const {EXPIRED, OVERLOADED, NO_VERSION} = QUEUE_REFUSAL;
+    const rateFor = this.rateEstimator(now);
+    const unplaceable = this.waiting.takeUnplaceable(now, rateFor);
     const lost = this.waiting.takeWhere(
       ({request}) => !this.hasVersion(request),
     );
     for (const waiting of lost) this.refuse(waiting, NO_VERSION);
+    for (const waiting of unplaceable) {
+      const isExpired = waiting.placementDeadlineMs <= now;
+      this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
+    }
   }
 
   /** Whether any upstream that stays may serve the request by its version. */
@@ -308,6 +307,7 @@
     const now = this.options.nowMs();
     const usable = this.usable(now);
     let free = usable.filter(state => this.hasRoom(state, now));
+    if (free.length === 0) return;
     const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
       free.some(({spec}) => hasRequiredVersion(request, spec)),
     );
--- a/packages/scheduling/src/placement_rate.ts
+++ b/packages/scheduling/src/placement_rate.ts
@@ -6,8 +6,11 @@
 
 /** How fast requests of one kind are placed. */
 export interface PlacementRate {
-  /** Placements per millisecond; 0 if it can't be predicted. */
-  readonly perMs: number;
+  /**
+   * Placements per millisecond; 0 if it can't be predicted. Computed when first
+   * asked for, as most requests wait behind no other.
+   */
+  readonly perMs: () => number;
   /** Milliseconds until the first of them. */
   readonly firstInMs: number;
   /** Whether requests that need some software version take part in it. */
@@ -29,18 +32,22 @@
   rateLimiter: UpstreamRateLimiter,
   nowMs: number,
 ): RateEstimator {
-  const unbound = usable.filter(
-    ({spec}) => !boundVersions.has(spec.softwareVersion ?? ''),
-  );
+  const unbound =
+    boundVersions.size === 0
+      ? usable
+      : usable.filter(
+          ({spec}) => !boundVersions.has(spec.softwareVersion ?? ''),
+        );
   const rateOf = (
     states: readonly UpstreamState[],
     includesBound: boolean,
   ): PlacementRate => {
-    const perMs = latency.placementsPerMs(states, ({spec}) =>
-      rateLimiter.maxPerMs(spec, nowMs),
-    );
-    const waits = states.map(({spec}) => rateLimiter.waitMs(spec, nowMs));
-    const firstInMs = waits.length === 0 ? 0 : Math.min(...waits);
+    let known: number | null = null;
+    const perMs = (): number =>
+      (known ??= latency.placementsPerMs(states, ({spec}) =>
+        rateLimiter.maxPerMs(spec, nowMs),
+      ));
+    const firstInMs = shortestWaitMs(states, rateLimiter, nowMs);
     return {perMs, firstInMs, includesBound};
   };
   const rates = new Map<string | null, PlacementRate>();
@@ -61,6 +68,20 @@
   };
 }
 
+/** Milliseconds until the rate limit of any of the upstreams permits a grant. */
+function shortestWaitMs(
+  states: readonly UpstreamState[],
+  rateLimiter: UpstreamRateLimiter,
+  nowMs: number,
+): number {
+  let shortest = Infinity;
+  for (const {spec} of states) {
+    shortest = Math.min(shortest, rateLimiter.waitMs(spec, nowMs));
+    if (shortest === 0) return 0;
+  }
+  return shortest === Infinity ? 0 : shortest;
+}
+
 /** Counts waiting requests by the upstreams that they need. */
 export class AheadCounter {
   private total = 0;
@@ -92,6 +113,7 @@
       ? this.total
       : (this.byVersion.get(requiredVersion) ?? 0);
     if (ahead === 0) return firstInMs;
-    return perMs === 0 ? unknownWaitMs : firstInMs + ahead / perMs;
+    const rate = perMs();
+    return rate === 0 ? unknownWaitMs : firstInMs + ahead / rate;
   }
 }
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -32,6 +32,15 @@
   return requiredVersion === null || requiredVersion === softwareVersion;
 }
 
+/** The states that a request can use; not copied if it can use them all. */
+function withRequiredVersion(
+  request: GrantRequest,
+  states: readonly UpstreamState[],
+): readonly UpstreamState[] {
+  if (request.requiredVersion === null) return states;
+  return states.filter(({spec}) => hasRequiredVersion(request, spec));
+}
+
 /** Chooses upstreams for waiting requests by their estimated cost. */
 export class UpstreamChooser {
   constructor(
@@ -51,27 +60,30 @@
     nowMs: number,
   ): UpstreamChoice {
     const {request} = waiting;
-    const canServe = ({spec}: UpstreamState): boolean =>
-      hasRequiredVersion(request, spec);
-    const usable = usableStates.filter(canServe);
-    const free = freeStates.filter(canServe);
+    const usable = withRequiredVersion(request, usableStates);
+    const free = withRequiredVersion(request, freeStates);
     const leftToPlaceMs = waiting.placementDeadlineMs - nowMs;
-    const reachable = usable.filter(({spec}) => {
+    const isReachable = ({spec}: UpstreamState): boolean => {
       const waitMs = this.rateLimiter.waitMs(spec, nowMs);
       return waitMs === 0 || waitMs <= leftToPlaceMs;
-    });
+    };
     const isSafe = (state: UpstreamState): boolean =>
-      request.isRepeatable || state.acceptsNonRepeatable(nowMs);
-    const eligible = reachable.some(isSafe) ? free.filter(isSafe) : free;
+      state.acceptsNonRepeatable(nowMs);
+    const needsSafeTarget =
+      !request.isRepeatable &&
+      usable.some(state => isSafe(state) && isReachable(state));
+    const eligible = needsSafeTarget ? free.filter(isSafe) : free;
     const isNew = (state: UpstreamState): boolean =>
       !request.excluded.includes(state.spec.instanceId);
     const notExcluded = eligible.filter(isNew);
     // A retry goes to the same upstream only if the service has no other.
-    if (notExcluded.length === 0 && reachable.some(isNew)) return 'wait';
+    const hasAlternative = (): boolean =>
+      usable.some(state => isNew(state) && isReachable(state));
+    if (notExcluded.length === 0 && hasAlternative()) return 'wait';
     const candidates = notExcluded.length > 0 ? notExcluded : eligible;
     const best = this.findCheapest(request, candidates);
-    if (waiting.isLate) return best ?? 'wait';
     if (!best) return 'wait';
+    if (waiting.isLate) return best;
     const leftMs = waiting.objectiveAtMs - nowMs;
     if (best.startMs <= leftMs) return best;
     return this.canMeetLater(request, usable, leftMs, nowMs) ? 'wait' : 'late';
--- a/packages/scheduling/src/upstream_limits.ts
+++ b/packages/scheduling/src/upstream_limits.ts
@@ -6,11 +6,11 @@
 } from './constants.js';
 import type {UpstreamSpec} from './types.js';
 
+/** Identifies one life of an upstream, which may keep its instance id. */
+export type UpstreamLife = Pick<UpstreamSpec, 'instanceId' | 'startedAtUnixMs'>;
+
 /** What an upstream last told one gateway about the rate that it accepts. */
-export interface LimitStatement {
-  readonly instanceId: string;
-  /** Start of the upstream in Unix milliseconds; null if not known. */
-  readonly startedAtUnixMs: number | null;
+export interface LimitStatement extends UpstreamLife {
   /** Requests per second of all gateways together; null if it named no limit. */
   readonly perSecond: number | null;
   /**
@@ -20,8 +20,13 @@
   readonly statedAtMs: number;
 }
 
-/** Identifies one life of an upstream, which may keep its instance id. */
-type UpstreamLife = Pick<UpstreamSpec, 'instanceId' | 'startedAtUnixMs'>;
+/** Key of one life of an upstream. */
+export function upstreamLifeKey({
+  instanceId,
+  startedAtUnixMs,
+}: UpstreamLife): string {
+  return `${instanceId}@${startedAtUnixMs ?? ''}`;
+}
 
 /**
  * The limit that follows from the latest statement to each gateway, in requests
@@ -59,7 +64,7 @@
    * whether the limit that it was told has changed.
    */
   record(gatewayId: string, statement: LimitStatement): boolean {
-    const key = keyOf(statement);
+    const key = upstreamLifeKey(statement);
     const statements: Map<string, LimitStatement> =
       this.byUpstream.get(key) ?? new Map();
     const before = statements.get(gatewayId);
@@ -71,11 +76,25 @@
 
   /** The limit in force in requests per second; null for none. */
   limitOf(upstream: UpstreamLife, nowMs: number): number | null {
-    const statements = this.byUpstream.get(keyOf(upstream));
+    // Asked for each upstream at each placement; mostly none has a limit.
+    if (this.byUpstream.size === 0) return null;
+    const statements = this.byUpstream.get(upstreamLifeKey(upstream));
     if (!statements) return null;
     return limitInForce([...statements.values()].filter(isRecentAt(nowMs)));
   }
 
+  /** The recent statement of an upstream to a gateway; null for none. */
+  statementTo(
+    gatewayId: string,
+    upstream: UpstreamLife,
+    nowMs: number,
+  ): LimitStatement | null {
+    const statement = this.byUpstream
+      .get(upstreamLifeKey(upstream))
+      ?.get(gatewayId);
+    return statement && isRecentAt(nowMs)(statement) ? statement : null;
+  }
+
   /** The recent statements to a gateway. */
   statementsTo(gatewayId: string, nowMs: number): LimitStatement[] {
     const isRecent = isRecentAt(nowMs);
@@ -91,7 +110,3 @@
 function isRecentAt(nowMs: number): (statement: LimitStatement) => boolean {
   return ({statedAtMs}) => nowMs - statedAtMs <= LIMIT_STATEMENT_TTL_MS;
 }
-
-function keyOf({instanceId, startedAtUnixMs}: UpstreamLife): string {
-  return `${instanceId}@${startedAtUnixMs ?? ''}`;
-}
--- a/packages/scheduling/src/upstream_rate_limiter.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.ts
@@ -4,6 +4,7 @@
 import {QuotaLedger} from './token_quota.js';
 import type {UpstreamSpec} from './types.js';
 import type {UpstreamLimits} from './upstream_limits.js';
+import {upstreamLifeKey} from './upstream_limits.js';
 
 /**
  * Keeps the requests of all gateways to an upstream within the rate that it
@@ -57,6 +58,6 @@
 }
 
 /** Name of an upstream's bucket, which no client account can have. */
-function bucketOf({instanceId, startedAtUnixMs}: UpstreamSpec): string {
-  return `upstream\n${instanceId}@${startedAtUnixMs ?? ''}`;
+function bucketOf(upstream: UpstreamSpec): string {
+  return `upstream\n${upstreamLifeKey(upstream)}`;
 }
