Build run reports in one place

reportNow collected a service's runs and limits again beside reportRuns, and Gateway looked up the service that DispatchClient knows. Reports are created by one function now; the periodic report sends all, a changed limit one of them. Whether a response belongs to another request was also decided twice.

--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -18,7 +18,7 @@
 } from './constants.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {MemberDirectory} from './member_directory.js';
-import type {AgedLimitStatement, RunReport} from './messages.js';
+import type {RunReport} from './messages.js';
 import {GRANT_ANSWER_SCHEMA} from './messages.js';
 import type {PeerMonitor} from './peer_monitor.js';
 import type {GatewayMember} from './types.js';
@@ -131,15 +131,13 @@
     return this.grantedRuns.get(requestId)?.grantedBy.id;
   }
 
-  /** Reports the requests running here and the known limits of a service now. */
-  reportNow(service: string): void {
-    const runs: RunReport['runs'] = [];
-    for (const [requestId, run] of this.grantedRuns) {
-      if (run.service !== service) continue;
-      runs.push({requestId, instanceId: run.instanceId});
-    }
-    const limits = this.limitsByService().get(service) ?? [];
-    this.sendRunReport(service, runs, limits);
+  /** Reports the known limits of an upstream's service to its queue now. */
+  reportLimit(instanceId: string): void {
+    const service = this.upstreams.serviceOf(instanceId);
+    const report = this.createRunReports().find(
+      candidate => candidate.service === service,
+    );
+    if (report) this.sendRunReport(report);
   }
 
   /** Stops the periodic run reports. */
@@ -248,47 +246,44 @@
    * queue. A service without any left gets one final empty report.
    */
   private reportRuns(): void {
-    const byService = new Map<string, RunReport['runs']>();
-    for (const service of this.reportedServices) byService.set(service, []);
-    for (const [requestId, {service, instanceId}] of this.grantedRuns) {
-      const runs = byService.get(service) ?? [];
-      runs.push({requestId, instanceId});
-      byService.set(service, runs);
-    }
-    const limitsByService = this.limitsByService();
-    for (const service of limitsByService.keys()) {
-      if (!byService.has(service)) byService.set(service, []);
-    }
-    for (const [service, runs] of byService) {
-      if (runs.length > 0) this.reportedServices.add(service);
-      else this.reportedServices.delete(service);
-      this.sendRunReport(service, runs, limitsByService.get(service) ?? []);
+    const reports = this.createRunReports();
+    this.reportedServices.clear();
+    for (const report of reports) {
+      if (report.runs.length > 0) this.reportedServices.add(report.service);
+      this.sendRunReport(report);
     }
   }
 
-  private limitsByService(): Map<string, AgedLimitStatement[]> {
+  private createRunReports(): RunReport[] {
     const now = this.clock.monotonicMs();
-    const {id} = this.members.localMember;
-    const byService = new Map<string, AgedLimitStatement[]>();
-    for (const statement of this.limits.statementsTo(id, now)) {
-      const service = this.upstreams.serviceOf(statement.instanceId);
+    const entryId = this.members.localMember.id;
+    const reports = new Map<string, RunReport>();
+    const reportOf = (service: string): RunReport => {
+      const report = reports.get(service) ?? {
+        service,
+        entryId,
+        runs: [],
+        limits: [],
+      };
+      reports.set(service, report);
+      return report;
+    };
+    for (const service of this.reportedServices) reportOf(service);
+    for (const [requestId, {service, instanceId}] of this.grantedRuns) {
+      reportOf(service).runs.push({requestId, instanceId});
+    }
+    for (const told of this.limits.statementsTo(entryId, now)) {
+      const service = this.upstreams.serviceOf(told.instanceId);
       if (service === undefined) continue;
-      const {statedAtMs, ...rest} = statement;
-      const statements = byService.get(service) ?? [];
-      statements.push({...rest, ageMs: Math.round(now - statedAtMs)});
-      byService.set(service, statements);
+      const {statedAtMs, ...statement} = told;
+      const ageMs = Math.round(now - statedAtMs);
+      reportOf(service).limits.push({...statement, ageMs});
     }
-    return byService;
+    return [...reports.values()];
   }
 
-  private sendRunReport(
-    service: string,
-    runs: RunReport['runs'],
-    limits: AgedLimitStatement[],
-  ): void {
-    const owner = this.members.ownerOf(service);
-    const entryId = this.members.localMember.id;
-    const report = {service, entryId, runs, limits};
+  private sendRunReport(report: RunReport): void {
+    const owner = this.members.ownerOf(report.service);
     if (this.members.isSelf(owner)) this.dispatcher.reconcile(report);
     else this.network.notify(owner, GATEWAY_METHOD.REPORT, report);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,10 +142,7 @@
         log,
         settings.memberId,
         this.upstreamLimits,
-        instanceId => {
-          const service = this.upstreams.serviceOf(instanceId);
-          if (service !== undefined) dispatchClient.reportNow(service);
-        },
+        instanceId => dispatchClient.reportLimit(instanceId),
       ),
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -92,9 +92,6 @@
   ageMs: MILLISECONDS,
 });
 
-/** Statement about a rate limit with its age instead of its time. */
-export type AgedLimitStatement = z.infer<typeof LIMIT_STATEMENT>;
-
 /**
  * Params of an entry's periodic list of running requests of a service, and of
  * what its upstreams told the entry about their rate limits.
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -145,10 +145,8 @@
   /** Records what the response head says of the upstream's rate limit. */
   private recordLimit(head: UpstreamResponseHead): void {
     // Another upstream at the same address sent it, or it is a late response.
+    if (head.isInstanceMismatch || this.isForOtherRequest(head)) return;
     const {requestId} = this.request.head;
-    const isForOtherRequest =
-      head.requestId !== null && head.requestId !== requestId;
-    if (head.isInstanceMismatch || isForOtherRequest) return;
     this.gateway.limitObserver.recordResponse(
       this.placement,
       head.rateLimitPerS,
@@ -156,6 +154,10 @@
     );
   }
 
+  private isForOtherRequest({requestId}: UpstreamResponseHead): boolean {
+    return requestId !== null && requestId !== this.request.head.requestId;
+  }
+
   private async handleSendResult(sent: SendResult): Promise<SendOutcome> {
     switch (sent.kind) {
       case 'unreachable':
@@ -190,8 +192,7 @@
     head: UpstreamResponseHead,
   ): Promise<SendOutcome> {
     const {requestId} = this.request.head;
-    const isForOtherRequest =
-      head.requestId !== null && head.requestId !== requestId;
+    const isForOtherRequest = this.isForOtherRequest(head);
     const status = exchange.res.statusCode ?? 0;
     if (head.isNotRun && !isForOtherRequest) {
       exchange.res.resume();
