--- a/packages/scheduling/src/latency_estimator.test.ts
+++ b/packages/scheduling/src/latency_estimator.test.ts
@@ -1,19 +1,12 @@
 import {describe, expect, it} from 'vitest';
 import {RUN_END} from './constants.js';
 import {LatencyEstimator} from './latency_estimator.js';
+import {upstream} from './test_support/queue_harness.js';
 import {UpstreamState} from './upstream_state.js';
 
 describe('LatencyEstimator', () => {
   it('predicts finite times when all events of a stream arrive at once', () => {
-    const state = new UpstreamState({
-      instanceId: 'u',
-      address: '10.0.0.1:80',
-      zone: 'a',
-      slots: 1,
-      isLeaving: false,
-      startedAtUnixMs: 1,
-      softwareVersion: null,
-    });
+    const state = new UpstreamState(upstream('u'));
     const report = {
       requestId: 'r',
       end: RUN_END.COMPLETED,
--- a/packages/scheduling/src/upstream_rate_limiter.test.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.test.ts
@@ -1,18 +1,10 @@
 import {describe, expect, it} from 'vitest';
+import {upstream} from './test_support/queue_harness.js';
 import {UsageHub} from './token_quota.js';
-import type {UpstreamSpec} from './types.js';
 import {UpstreamLimits} from './upstream_limits.js';
 import {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 
-const UPSTREAM: UpstreamSpec = {
-  instanceId: 'u',
-  address: '10.0.0.1:80',
-  zone: 'a',
-  slots: 4,
-  isLeaving: false,
-  startedAtUnixMs: 1,
-  softwareVersion: null,
-};
+const UPSTREAM = upstream('u');
 const WINDOW_MS = 4_000;
 const EXCHANGE_INTERVAL_MS = 100;
 const SILENCE_TIMEOUT_MS = 1_200;
--- a/packages/scheduling/src/upstream_state.test.ts
+++ b/packages/scheduling/src/upstream_state.test.ts
@@ -1,5 +1,6 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {REPEATABLE_ONLY_MS, RUN_END} from './constants.js';
+import {upstream} from './test_support/queue_harness.js';
 import type {RunEnd} from './types.js';
 import {UpstreamState} from './upstream_state.js';
 
@@ -11,15 +12,7 @@
 
   beforeEach(() => {
     nowMs = 1_000;
-    state = new UpstreamState({
-      instanceId: 'u',
-      address: '10.0.0.1:80',
-      zone: 'a',
-      slots: SLOTS,
-      isLeaving: false,
-      startedAtUnixMs: 1,
-      softwareVersion: null,
-    });
+    state = new UpstreamState(upstream('u', SLOTS));
   });
 
   const grant = (requestId: string): void => {
