--- a/packages/gateway/src/config_state.ts
+++ b/packages/gateway/src/config_state.ts
@@ -15,6 +15,8 @@
 export class ConfigState {
   private active: {cfg: GatewayConfig; table: RouteTable} | null = null;
   private confirmedAtMs = -Infinity;
+  /** Newest version that another member has in force. */
+  private newestElsewhere = -1;
 
   constructor(
     private readonly bootClock: BootClock,
@@ -33,6 +35,11 @@
     return this.active?.table ?? null;
   }
 
+  /** Newest version in force at any member, as far as known; -1 for none. */
+  get newestVersion(): number {
+    return Math.max(this.newestElsewhere, this.current?.version ?? -1);
+  }
+
   /**
    * Milliseconds since the configuration was last confirmed as the newest;
    * Infinity before the first confirmation.
@@ -54,10 +61,17 @@
     });
   }
 
+  /** Records a version that another member has in force. */
+  recordElsewhere(version: number): void {
+    this.newestElsewhere = Math.max(this.newestElsewhere, version);
+  }
+
   /**
-   * Records that no newer version existed at a boot clock time in milliseconds.
+   * Records that no newer version existed at a boot clock time in milliseconds,
+   * unless another member has one.
    */
   confirm(atMs: number): void {
+    if ((this.current?.version ?? -1) < this.newestElsewhere) return;
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,6 +125,7 @@
       network,
       this.monitor,
       [quotaLedger, this.dispatcher.rateLimiter.ledger],
+      this.configState,
     );
     this.context = {
       settings,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -109,22 +109,33 @@
 /** Quota units by account name. */
 export const USAGE_SCHEMA = z.record(ID, z.number());
 
+/** Version of a configuration in force; -1 for none. */
+const CONFIG_VERSION = z.number().default(-1);
+
 /**
  * The usage hub's answer: units that other members used, and the number of
  * members that reported recently, or null while the hub is too new for all
- * members to have reported to it.
+ * members to have reported to it; and the newest configuration in force.
  */
 export const USAGE_ANSWER_SCHEMA = z.object({
   others: USAGE_SCHEMA,
   heard: COUNT.nullable(),
+  newestConfig: CONFIG_VERSION,
 });
 
+/** Answer of the usage hub to a report. */
+export type UsageReportAnswer = z.infer<typeof USAGE_ANSWER_SCHEMA>;
+
 /** Params of a member's usage report to the hub. */
 export const USAGE_REPORT_SCHEMA = z.object({
   memberId: ID,
   usage: USAGE_SCHEMA,
+  configVersion: CONFIG_VERSION,
 });
 
+/** A member's usage report, with its configuration's version. */
+export type UsageReport = z.infer<typeof USAGE_REPORT_SCHEMA>;
+
 const MAX_PARTS = 64;
 const PARTS = z.array(ID).max(MAX_PARTS);
 
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -62,9 +62,8 @@
     [GATEWAY_METHOD.REPORT]: withValidatedParams(REPORT_SCHEMA, report =>
       dispatcher.reconcile(report),
     ),
-    [GATEWAY_METHOD.USAGE]: withValidatedParams(
-      USAGE_REPORT_SCHEMA,
-      ({memberId, usage}) => usageExchange.handleUsageReport(memberId, usage),
+    [GATEWAY_METHOD.USAGE]: withValidatedParams(USAGE_REPORT_SCHEMA, report =>
+      usageExchange.handleUsageReport(report),
     ),
     [GATEWAY_METHOD.DEATH]: withValidatedParams(DEATH_SCHEMA, report =>
       crashGuard.recordDeath(report),
--- a/packages/gateway/src/usage_exchange.test.ts
+++ b/packages/gateway/src/usage_exchange.test.ts
@@ -3,11 +3,12 @@
 import {QuotaLedger} from '@fescuespool/scheduling';
 import {PeerNetwork} from '@fescuespool/transport';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {ConfigState} from './config_state.js';
 import {GATEWAY_METHOD, USAGE_HUB_KEY} from './constants.js';
 import {MemberDirectory} from './member_directory.js';
 import {USAGE_REPORT_SCHEMA} from './messages.js';
 import {PeerMonitor} from './peer_monitor.js';
-import type {GatewayMember} from './types.js';
+import type {GatewayConfig, GatewayMember} from './types.js';
 import {UsageExchange} from './usage_exchange.js';
 
 const LIMIT = {perSecond: 10_000, burst: 10_000};
@@ -25,11 +26,22 @@
   error: ignore,
 };
 
+function emptyConfig(version: number): GatewayConfig {
+  return {
+    version,
+    routes: [],
+    accountsByKey: new Map(),
+    requiresKeys: true,
+    limits: {maxBodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1},
+  };
+}
+
 /**
  * A member with its own listener; it stops answering the members in silentTo.
  */
 class TestMember {
   readonly quotas = new QuotaLedger();
+  readonly configState = new ConfigState(SYSTEM_CLOCK.monotonicMs, SILENT);
   readonly network: PeerNetwork;
   readonly silentTo = new Set<string>();
   /** Names of the info events it logged. */
@@ -70,6 +82,7 @@
       this.network,
       this.monitor,
       [this.quotas],
+      this.configState,
     );
     await this.network.listen({
       [GATEWAY_METHOD.PING]: async () => {
@@ -77,10 +90,10 @@
         return {};
       },
       [GATEWAY_METHOD.USAGE]: async params => {
-        const {memberId, usage} = USAGE_REPORT_SCHEMA.parse(params);
+        const report = USAGE_REPORT_SCHEMA.parse(params);
         // To the caller, a connection cut in one direction looks the same.
-        while (this.silentTo.has(memberId)) await sleep(STEP_MS);
-        return this.exchange.handleUsageReport(memberId, usage);
+        while (this.silentTo.has(report.memberId)) await sleep(STEP_MS);
+        return this.exchange.handleUsageReport(report);
       },
     });
     this.quotas.openBucket(ACCOUNT, LIMIT, SYSTEM_CLOCK.monotonicMs());
@@ -160,4 +173,15 @@
     }
     expect(await chargeDemand(members, 1_500)).toBe(0);
   });
+
+  it('lets no member confirm a configuration that is older than another has', async () => {
+    for (const {configState} of members) configState.apply(emptyConfig(1));
+    members[0]!.configState.apply(emptyConfig(2));
+    await sleep(500);
+    for (const {configState} of members) {
+      configState.confirm(SYSTEM_CLOCK.monotonicMs());
+    }
+    const ages = members.map(({configState}) => configState.ageMs);
+    expect(ages.map(age => age < 1_000)).toEqual([true, false, false, false]);
+  });
 });
--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -1,6 +1,6 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import type {QuotaLedger, UsageAnswer} from '@fescuespool/scheduling';
+import type {QuotaLedger} from '@fescuespool/scheduling';
 import {UsageHub} from '@fescuespool/scheduling';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
@@ -14,7 +14,9 @@
   USAGE_REPORT_TIMEOUT_MS,
   USAGE_SILENCE_TIMEOUT_MS,
 } from './constants.js';
+import type {ConfigState} from './config_state.js';
 import type {MemberDirectory} from './member_directory.js';
+import type {UsageReport, UsageReportAnswer} from './messages.js';
 import {USAGE_ANSWER_SCHEMA} from './messages.js';
 import type {PeerMonitor} from './peer_monitor.js';
 
@@ -23,7 +25,8 @@
  * the usage hub: reports what was charged here and deducts what the others used.
  * An unreachable member may still use its share of every quota, so the members
  * that reach each other keep to the remaining shares, and an isolated member
- * keeps to its own.
+ * keeps to its own. The members also learn which configuration is the newest in
+ * force, since a restored store may lack it.
  */
 export class UsageExchange {
   private readonly hub = new UsageHub(
@@ -48,17 +51,18 @@
     private readonly monitor: PeerMonitor,
     /** Ledgers that share the exchange; each ignores the others' accounts. */
     private readonly ledgers: readonly QuotaLedger[],
+    private readonly configState: ConfigState,
   ) {
     this.lastAnswerMs = clock.monotonicMs();
     void this.exchangePeriodically();
   }
 
   /** Processes a member's usage report as the hub; usage is in quota units. */
-  handleUsageReport(
-    memberId: string,
-    usage: Record<string, number>,
-  ): UsageAnswer {
-    return this.hub.exchange(memberId, usage, this.clock.monotonicMs());
+  handleUsageReport(report: UsageReport): UsageReportAnswer {
+    const {memberId, usage, configVersion} = report;
+    this.configState.recordElsewhere(configVersion);
+    const answer = this.hub.exchange(memberId, usage, this.clock.monotonicMs());
+    return {...answer, newestConfig: this.configState.newestVersion};
   }
 
   /** Stops the periodic exchange. */
@@ -80,17 +84,21 @@
     const hub = this.members.ownerOf(USAGE_HUB_KEY);
     const memberId = this.members.localMember.id;
     const usages = this.ledgers.map(ledger => ledger.takeUnreported());
-    const usage = Object.assign({}, ...usages) as Record<string, number>;
+    const report: UsageReport = {
+      memberId,
+      usage: Object.assign({}, ...usages) as Record<string, number>,
+      configVersion: this.configState.current?.version ?? -1,
+    };
     const startMs = this.clock.monotonicMs();
     if (hub.id === memberId) {
-      this.applyAnswer(hub.id, this.handleUsageReport(memberId, usage));
+      this.applyAnswer(hub.id, this.handleUsageReport(report));
       return;
     }
     const answer = await callPeer(
       this.network,
       hub,
       GATEWAY_METHOD.USAGE,
-      {memberId, usage},
+      report,
       USAGE_ANSWER_SCHEMA,
       USAGE_REPORT_TIMEOUT_MS,
     );
@@ -108,7 +116,9 @@
     this.useOwnShareAfterTimeout();
   }
 
-  private applyAnswer(hubId: string, {others, heard}: UsageAnswer): void {
+  private applyAnswer(hubId: string, answer: UsageReportAnswer): void {
+    const {others, heard, newestConfig} = answer;
+    this.configState.recordElsewhere(newestConfig);
     const isSameHub = hubId === this.hubId;
     this.lastAnswerMs = this.clock.monotonicMs();
     this.hubId = hubId;
