Keep claims when the daemon's store comes back from an older copy

What callers saw: a call with an idempotency key that had run could run again at another entry, since its claim was gone from the store.

Change: the platform's responses name how often the store was restored, which daemons also pass on with their probes. After a restore no claim is created for 5 s, in which each holder writes again what it claimed in the last 60 s. A relay watches the configuration from the start again, since its revision may be given out anew.

Result: with the mechanism switched off both new tests of ClaimStore and the daemon fail (the second entry gets the claim); they pass with it. A claim whose holder has died since is lost all the same.

--- a/packages/coordination/src/membership.test.ts
+++ b/packages/coordination/src/membership.test.ts
@@ -27,7 +27,7 @@
     const node = new Membership({
       self,
       clock: {monotonicMs: () => this.nowMs, wallMs: () => 0},
-      versions: () => ({config: 1, vms: 1}),
+      versions: () => ({config: 1, vms: 1, storeEpoch: 0}),
       sendProbe: async (member, message) => {
         const target = this.nodes.get(member.id);
         const isBroken =
--- a/packages/coordination/src/membership.ts
+++ b/packages/coordination/src/membership.ts
@@ -56,7 +56,7 @@
     helper: Member,
     target: Member,
   ) => Promise<boolean>;
-  /** Called with a peer that has a newer config or VM list. */
+  /** Called with a peer that has a newer config, VM list or store epoch. */
   readonly onNewerVersions: (member: Member, versions: StateVersions) => void;
   /** Called after a member's state, incarnation or reachability changed. */
   readonly onChange: () => void;
@@ -216,7 +216,11 @@
     for (const change of message.changes) this.mergeUpdate(change);
     const {versions} = message;
     const own = this.options.versions();
-    if (versions.config > own.config || versions.vms > own.vms) {
+    const isNewer =
+      versions.config > own.config ||
+      versions.vms > own.vms ||
+      versions.storeEpoch > own.storeEpoch;
+    if (isNewer) {
       this.options.onNewerVersions(from, versions);
     }
   }
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -37,6 +37,8 @@
 export interface StateVersions {
   readonly config: number;
   readonly vms: number;
+  /** Number of restores of the platform's store. */
+  readonly storeEpoch: number;
 }
 
 /** Payload of a membership probe and its answer, with gossiped changes. */
--- a/packages/daemon/src/claim_gate.test.ts
+++ b/packages/daemon/src/claim_gate.test.ts
@@ -132,6 +132,25 @@
     });
   });
 
+  describe('when the platform is restored from an older copy', () => {
+    it('does not run again under a claim that the copy lacks', async () => {
+      const key = newKey();
+      await fleet.setFaults('platform', {keepCopy: true});
+      expect((await book('entry-1', key)).status).toBe(200);
+      await fleet.setFaults('platform', {restoreCopy: true});
+      const early = await book('entry-2', key);
+      expect(problemOf(early)).toMatchObject({
+        reason: 'claim_unavailable',
+        outcome: 'not_run',
+      });
+      await waitUntil('the platform accepts claims again', async () => {
+        const response = await book('entry-2', key);
+        return response.status === 200;
+      });
+      expect(await executionsOf(key)).toBe(1);
+    });
+  });
+
   describe('when an upstream fails', () => {
     it('does not run again after the connection broke during the run', async () => {
       const key = newKey();
--- a/packages/daemon/src/config_sync.ts
+++ b/packages/daemon/src/config_sync.ts
@@ -51,7 +51,11 @@
 
   /** Current configuration version and VM list revision of this process. */
   get versions(): StateVersions {
-    return {config: this.context.config.version, vms: this.listing.revision};
+    return {
+      config: this.context.config.version,
+      vms: this.listing.revision,
+      storeEpoch: this.store.epoch.current,
+    };
   }
 
   /** The newest VM list received; empty at revision 0 before the first. */
@@ -70,6 +74,8 @@
   /** Watches the configuration head while this process is a relay. */
   async watchConfig(signal: AbortSignal): Promise<void> {
     let revision = 0;
+    // A restored store gives out its revisions again.
+    this.store.epoch.onChange(() => (revision = 0));
     while (!signal.aborted) {
       if (!this.isRelay) {
         await sleep(RELAY_CHECK_INTERVAL_MS, signal);
@@ -115,6 +121,7 @@
    * passed meanwhile is pulled after it.
    */
   async pullFrom(member: Member, versions: StateVersions): Promise<void> {
+    this.store.epoch.record(versions.storeEpoch);
     if (this.isPulling) {
       this.pendingPullPeer = member;
       return;
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -25,7 +25,11 @@
 /** Schema of a membership probe. */
 export const PROBE_SCHEMA = z.object({
   from: MEMBER,
-  versions: z.object({config: COUNT, vms: COUNT}),
+  versions: z.object({
+    config: COUNT,
+    vms: COUNT,
+    storeEpoch: COUNT.default(0),
+  }),
   changes: z.array(MEMBER).max(MAX_LIST_LENGTH),
 });
 
--- a/packages/protocol/src/platform_messages.ts
+++ b/packages/protocol/src/platform_messages.ts
@@ -17,22 +17,34 @@
   revision: z.number().int(),
 });
 
+/** Number of restores of the store; 0 for a platform that does not tell. */
+const EPOCH = z.number().int().min(0).default(0);
+
 /** Schema of the response to a read or a watch. */
 export const ENTRY_RESPONSE_SCHEMA = z.object({
   entry: STORE_ENTRY_SCHEMA.nullable(),
+  epoch: EPOCH,
 });
 
 /** Schema of the response to a compare-and-swap. */
 export const CAS_RESPONSE_SCHEMA = z.discriminatedUnion('swapped', [
-  z.object({swapped: z.literal(true), revision: z.number().int()}),
+  z.object({
+    swapped: z.literal(true),
+    revision: z.number().int(),
+    epoch: EPOCH,
+  }),
   z.object({
     swapped: z.literal(false),
     current: STORE_ENTRY_SCHEMA.nullable(),
+    epoch: EPOCH,
   }),
 ]);
 
 /** Schema of the response to a lease request. */
-export const LEASE_RESPONSE_SCHEMA = z.object({leaseId: z.string()});
+export const LEASE_RESPONSE_SCHEMA = z.object({
+  leaseId: z.string(),
+  epoch: EPOCH,
+});
 
 /** Schema of the response to a keep-alive. */
 export const KEEP_ALIVE_RESPONSE_SCHEMA = z.object({ok: z.boolean()});
--- a/packages/stand-ins/src/platform_stand_in.ts
+++ b/packages/stand-ins/src/platform_stand_in.ts
@@ -28,6 +28,10 @@
   staleReads: z.number().optional(),
   /** Source addresses whose connections are closed. */
   blockedSources: z.array(z.string()).optional(),
+  /** Keeps a copy of the store from which it can be restored. */
+  keepCopy: z.boolean().optional(),
+  /** Restores the store from the copy, which loses what came after it. */
+  restoreCopy: z.boolean().optional(),
 });
 
 /** Faults that can be set on the emulated platform. */
@@ -44,13 +48,16 @@
 
 /** In-memory key-value store and VM list of the platform. */
 class Platform {
-  private readonly values = new Map<string, StoredValue>();
+  private values = new Map<string, StoredValue>();
   private readonly previous = new Map<string, StoreEntry | null>();
-  private readonly leases = new Map<string, number>();
+  private leases = new Map<string, number>();
   private readonly waiters = new Set<Waiter>();
   private readonly limiter = new RateLimiter(PLATFORM_RATE_LIMIT);
   private readonly calls: Record<string, number> = {};
   private revision = 0;
+  /** Number of restores. */
+  private epoch = 0;
+  private restore: () => void = () => undefined;
   private listing: VmListing = {revision: 0, vms: []};
   faults: PlatformFaults = {};
 
@@ -77,6 +84,8 @@
     if (path === CONTROL_PATH.FAULTS) {
       const patch = PLATFORM_FAULTS_SCHEMA.parse(JSON.parse(json));
       this.faults = {...this.faults, ...patch};
+      if (patch.restoreCopy) this.restore();
+      if (patch.keepCopy) this.restore = this.copy();
     }
     if (path === CONTROL_PATH.VMS) {
       const vms = JSON.parse(json) as Vm[];
@@ -90,7 +99,10 @@
   private handleCall(path: string, body: unknown, res: ServerResponse): void {
     const params = body as Record<string, unknown>;
     if (path === PLATFORM_PATH.GET) {
-      sendJson(res, {entry: this.read(String(params['key']))});
+      sendJson(res, {
+        entry: this.read(String(params['key'])),
+        epoch: this.epoch,
+      });
     } else if (path === PLATFORM_PATH.CAS) {
       this.compareAndSwap(body as CasRequest, res);
     } else if (path === PLATFORM_PATH.WATCH) {
@@ -103,7 +115,7 @@
         (this.values.get(key)?.revision ?? 0) > afterRevision;
       this.waitUntilReady(isReady, waitMs, () => {
         const entry = isReady() ? this.entry(key) : null;
-        sendJson(res, {entry});
+        sendJson(res, {entry, epoch: this.epoch});
       });
     } else if (path === PLATFORM_PATH.VMS) {
       const {afterRevision, waitMs} = params as {
@@ -117,12 +129,26 @@
     } else if (path === PLATFORM_PATH.LEASE_GRANT) {
       const leaseId = newId();
       this.leases.set(leaseId, Date.now() + Number(params['ttlMs']));
-      sendJson(res, {leaseId});
+      sendJson(res, {leaseId, epoch: this.epoch});
     } else {
       sendJson(res, {ok: this.leases.has(String(params['leaseId']))});
     }
   }
 
+  /** Copies the store; the returned function restores it from that copy. */
+  private copy(): () => void {
+    const values = new Map(this.values);
+    const leases = new Map(this.leases);
+    const {revision} = this;
+    return () => {
+      this.values = new Map(values);
+      this.leases = new Map(leases);
+      this.revision = revision;
+      this.epoch++;
+      this.notifyWaiters();
+    };
+  }
+
   private entry(key: string): StoreEntry | null {
     const stored = this.values.get(key);
     if (!stored) return null;
@@ -146,7 +172,7 @@
       return;
     }
     if ((current?.revision ?? 0) !== req.expectedRevision) {
-      sendJson(res, {swapped: false, current});
+      sendJson(res, {swapped: false, current, epoch: this.epoch});
       return;
     }
     this.previous.set(req.key, current);
@@ -167,7 +193,7 @@
       res.socket?.destroy();
       return;
     }
-    sendJson(res, {swapped: true, revision});
+    sendJson(res, {swapped: true, revision, epoch: this.epoch});
   }
 
   /** Calls `respond` when the condition holds, or after `waitMs`. */
--- a/packages/state/src/claim_store.test.ts
+++ b/packages/state/src/claim_store.test.ts
@@ -1,7 +1,12 @@
+import {sleep, SYSTEM_CLOCK} from '@fescuespool/common';
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {ClaimStore} from './claim_store.js';
-import {CLAIM_OUTCOME} from './constants.js';
+import {
+  CLAIM_OUTCOME,
+  CLAIM_REWRITE_MS,
+  CLAIM_REWRITE_RETRY_MS,
+} from './constants.js';
 import type {SimulatedOutcome} from './memory_store.js';
 import {createMemoryStore} from './memory_store.js';
 
@@ -61,6 +66,56 @@
     );
   });
 
+  describe('of a store that is restored from an older copy', () => {
+    const createHolders = (): {
+      first: ClaimStore;
+      second: ClaimStore;
+      restore: () => void;
+      wait: (ms: number) => void;
+    } => {
+      const store = createMemoryStore();
+      const restore = store.copyForRestore();
+      let nowMs = 0;
+      const clock = {...SYSTEM_CLOCK, monotonicMs: () => nowMs};
+      const [first, second] = ['a', 'b'].map(
+        memberId => new ClaimStore(store, {memberId, incarnation: 1}, clock),
+      );
+      return {
+        first: first!,
+        second: second!,
+        restore,
+        wait: ms => void (nowMs += ms),
+      };
+    };
+
+    it('lets nobody run under a claim that the copy lacks', async () => {
+      const {first, second, restore, wait} = createHolders();
+      expect((await first.acquire(REQUEST)).outcome).toBe(
+        CLAIM_OUTCOME.ACQUIRED,
+      );
+      restore();
+      const early = await second.acquire(REQUEST);
+      expect(early.outcome).toBe(CLAIM_OUTCOME.UNAVAILABLE);
+      if (early.outcome === CLAIM_OUTCOME.UNAVAILABLE) {
+        await second.release(REQUEST, early.possiblyWritten!);
+      }
+      await sleep(2 * CLAIM_REWRITE_RETRY_MS);
+      wait(CLAIM_REWRITE_MS);
+      const late = await second.acquire(REQUEST);
+      expect(late.outcome).toBe(CLAIM_OUTCOME.HELD);
+    });
+
+    it('creates new claims once the others are written again', async () => {
+      const {first, second, restore, wait} = createHolders();
+      restore();
+      await first.acquire(REQUEST);
+      wait(CLAIM_REWRITE_MS);
+      const other = {...REQUEST, idempotencyKey: 'other'};
+      const acquired = await second.acquire(other);
+      expect(acquired.outcome).toBe(CLAIM_OUTCOME.ACQUIRED);
+    });
+  });
+
   it('creates a claim anew if its released one is deleted before the write', async () => {
     const store = createMemoryStore(() => 'works');
     const holder = {memberId: 'm', incarnation: 1};
--- a/packages/state/src/claim_store.ts
+++ b/packages/state/src/claim_store.ts
@@ -1,5 +1,6 @@
-import {newId, sha256Hex, SYSTEM_CLOCK} from '@fescuespool/common';
+import {newId, sha256Hex, sleep, SYSTEM_CLOCK} from '@fescuespool/common';
 import type {Clock} from '@fescuespool/common';
+import {LRUCache} from 'lru-cache';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import {
@@ -7,6 +8,10 @@
   CLAIM_OUTCOME,
   CLAIM_PREFIX,
   CLAIM_RETENTION_MS,
+  CLAIM_REWRITE_MS,
+  CLAIM_REWRITE_RETRY_MS,
+  MAX_RECENT_CLAIMS,
+  RECENT_CLAIM_MS,
   STORE_ERROR_KIND,
 } from './constants.js';
 import {StoreError} from './errors.js';
@@ -52,17 +57,27 @@
 /**
  * Creates claims in the platform's store. A claim is written once, before the
  * request is dispatched, and the store keeps it until its retention lease
- * expires, so no second write is needed.
+ * expires. If the store is restored from a copy, each holder writes its recent
+ * claims again, and no claim is created until all have had time to.
  */
 export class ClaimStore {
   private lease: {readonly id: string; readonly grantedAtMs: number} | null =
     null;
+  /** Claims that were created recently, by store key. */
+  private readonly recent = new LRUCache<string, Claim>({
+    max: MAX_RECENT_CLAIMS,
+    ttl: RECENT_CLAIM_MS,
+  });
+  /** Monotonic milliseconds from which on the store has all claims again. */
+  private completeFromMs = -Infinity;
 
   constructor(
     private readonly store: PlatformStore,
     private readonly holder: ClaimHolder,
     private readonly clock: Clock = SYSTEM_CLOCK,
-  ) {}
+  ) {
+    store.epoch.onChange(() => void this.rewriteRecent());
+  }
 
   /**
    * Tries to create a claim, or to replace a released one, whose holder has
@@ -71,6 +86,24 @@
   async acquire(
     request: ClaimedRequest,
     released: StoredClaim | null = null,
+  ): Promise<AcquireResult> {
+    if (!this.isComplete) return unavailable(incompleteError(), null);
+    const result = await this.create(request, released);
+    if (result.outcome !== CLAIM_OUTCOME.ACQUIRED) return result;
+    // The response may be the first that shows the restore.
+    if (!this.isComplete) return unavailable(incompleteError(), result.claim);
+    const key = claimKey(request.accountId, request.idempotencyKey);
+    this.recent.set(key, result.claim);
+    return result;
+  }
+
+  private get isComplete(): boolean {
+    return this.clock.monotonicMs() >= this.completeFromMs;
+  }
+
+  private async create(
+    request: ClaimedRequest,
+    released: StoredClaim | null,
   ): Promise<AcquireResult> {
     const lease = await this.currentLease();
     if (lease.isErr()) return unavailable(lease.error, null);
@@ -95,7 +128,7 @@
     }
     const {current} = written.value;
     // The holder deletes a released claim, perhaps since it was read.
-    if (!current && released) return this.acquire(request);
+    if (!current && released) return this.create(request, null);
     if (!current) {
       const message =
         'the key of the claim was deleted or expired during the write';
@@ -111,6 +144,7 @@
    */
   async release(request: ClaimedRequest, claim: Claim): Promise<boolean> {
     const key = claimKey(request.accountId, request.idempotencyKey);
+    if (this.recent.get(key)?.nonce === claim.nonce) this.recent.delete(key);
     const found = await this.store.get(key);
     if (found.isErr()) return false;
     if (!found.value) return true;
@@ -144,6 +178,43 @@
     return {outcome: CLAIM_OUTCOME.ACQUIRED, claim, revision};
   }
 
+  /** Writes the recent claims again that a restore has lost. */
+  private async rewriteRecent(): Promise<void> {
+    const endsAtMs = this.clock.monotonicMs() + CLAIM_REWRITE_MS;
+    this.completeFromMs = endsAtMs;
+    this.lease = null;
+    const epoch = this.store.epoch.current;
+    let pending = [...this.recent.keys()];
+    while (pending.length > 0 && epoch === this.store.epoch.current) {
+      const failed: string[] = [];
+      for (const key of pending) {
+        if (!(await this.rewrite(key))) failed.push(key);
+      }
+      pending = failed;
+      if (this.clock.monotonicMs() >= endsAtMs) return;
+      if (pending.length > 0) await sleep(CLAIM_REWRITE_RETRY_MS);
+    }
+  }
+
+  /** Returns whether the store has a claim for a key again. */
+  private async rewrite(key: string): Promise<boolean> {
+    const claim = this.recent.get(key);
+    if (!claim) return true;
+    const lease = await this.currentLease();
+    if (lease.isErr()) return false;
+    const written = await this.store.compareAndSwap({
+      key,
+      expectedRevision: 0,
+      value: JSON.stringify(claim),
+      leaseId: lease.value,
+    });
+    if (written.isErr()) return false;
+    if (written.value.swapped) return true;
+    const {current} = written.value;
+    // Another claim is one that its holder releases, as it came too early.
+    return current !== null && parseClaim(current).claim.nonce === claim.nonce;
+  }
+
   private async currentLease(): Promise<Result<string, StoreError>> {
     const now = this.clock.monotonicMs();
     if (this.lease && now - this.lease.grantedAtMs < CLAIM_LEASE_REUSE_MS) {
@@ -162,6 +233,11 @@
   }
 }
 
+function incompleteError(): StoreError {
+  const message = 'the store was restored, and claims are being written again';
+  return new StoreError(STORE_ERROR_KIND.UNAVAILABLE, message);
+}
+
 function unavailable(
   error: StoreError,
   possiblyWritten: Claim | null,
--- a/packages/state/src/constants.ts
+++ b/packages/state/src/constants.ts
@@ -69,3 +69,18 @@
 
 /** Time in milliseconds for which new claims share one retention lease. */
 export const CLAIM_LEASE_REUSE_MS = 60 * 60 * 1_000;
+
+/** Time in milliseconds for which a claim is written again after a restore. */
+export const RECENT_CLAIM_MS = 60_000;
+
+/** Number of claims that a holder remembers for that; bounds memory. */
+export const MAX_RECENT_CLAIMS = 16_384;
+
+/**
+ * Time in milliseconds after a restore in which holders learn of it and write
+ * their claims again; no claim is created meanwhile.
+ */
+export const CLAIM_REWRITE_MS = 5_000;
+
+/** Delay in milliseconds before claims that were not written are tried again. */
+export const CLAIM_REWRITE_RETRY_MS = 200;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -7,4 +7,5 @@
 export * from './constants.js';
 export * from './errors.js';
 export * from './memory_store.js';
+export * from './store_epoch.js';
 export * from './types.js';
--- a/packages/state/src/memory_store.ts
+++ b/packages/state/src/memory_store.ts
@@ -1,6 +1,7 @@
 import {err, ok} from 'neverthrow';
 import {STORE_ERROR_KIND} from './constants.js';
 import {StoreError} from './errors.js';
+import {StoreEpoch} from './store_epoch.js';
 import type {PlatformStore, StoreEntry} from './types.js';
 
 /**
@@ -12,6 +13,12 @@
 /** Returns the outcome of the next write. */
 export type NextOutcome = () => SimulatedOutcome;
 
+/** A store that tests can restore from a copy. */
+export interface MemoryStore extends PlatformStore {
+  /** Copies the store; the returned function restores it from that copy. */
+  readonly copyForRestore: () => () => void;
+}
+
 function simulatedError(kind: StoreError['kind']): StoreError {
   return new StoreError(kind, 'simulated failure of a store write');
 }
@@ -23,19 +30,33 @@
  */
 export function createMemoryStore(
   nextOutcome: NextOutcome = () => 'works',
-): PlatformStore {
-  const values = new Map<string, StoreEntry>();
+): MemoryStore {
+  let values = new Map<string, StoreEntry>();
+  const epoch = new StoreEpoch();
   let revision = 0;
+  let restores = 0;
   let leaseCount = 0;
   const get = (key: string): StoreEntry | null => values.get(key) ?? null;
   return {
+    epoch,
+    copyForRestore: () => {
+      const copy = new Map(values);
+      const copiedRevision = revision;
+      return () => {
+        values = new Map(copy);
+        revision = copiedRevision;
+        restores++;
+      };
+    },
     get: async key => {
       await Promise.resolve();
+      epoch.record(restores);
       return ok(get(key));
     },
     compareAndSwap: async ({key, expectedRevision, value}) => {
       await Promise.resolve();
       const outcome = nextOutcome();
+      if (outcome !== 'lost') epoch.record(restores);
       if (outcome === 'refused')
         return err(simulatedError(STORE_ERROR_KIND.UNAVAILABLE));
       const current = get(key);
--- a/packages/state/src/types.ts
+++ b/packages/state/src/types.ts
@@ -8,6 +8,7 @@
   VM_STATE,
 } from './constants.js';
 import type {StoreError} from './errors.js';
+import type {StoreEpoch} from './store_epoch.js';
 
 /** Whether a service is a model or an application. */
 export type ServiceKind = ValueOf<typeof SERVICE_KIND>;
@@ -49,6 +50,7 @@
 
 /** The operations of the platform's key-value service that are used. */
 export interface PlatformStore {
+  readonly epoch: StoreEpoch;
   readonly get: (key: string) => Promise<Result<StoreEntry | null, StoreError>>;
   readonly compareAndSwap: (
     req: CasRequest,
--- a/packages/transport/src/platform_client.ts
+++ b/packages/transport/src/platform_client.ts
@@ -11,7 +11,7 @@
   ReadVmList,
   StoreErrorKind,
 } from '@fescuespool/state';
-import {STORE_ERROR_KIND, StoreError} from '@fescuespool/state';
+import {STORE_ERROR_KIND, StoreEpoch, StoreError} from '@fescuespool/state';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import http from 'node:http';
@@ -97,19 +97,33 @@
     }
   };
 
+  const epoch = new StoreEpoch();
+  const callStore = async <T extends {readonly epoch: number}>(
+    path: string,
+    body: unknown,
+    schema: z.ZodType<T>,
+    waitMs?: number,
+  ): Promise<Result<T, StoreError>> => {
+    const response = await call(path, body, schema, waitMs);
+    if (response.isOk()) epoch.record(response.value.epoch);
+    return response;
+  };
+
   const store: PlatformStore = {
+    epoch,
     get: async key => {
-      const response = await call(
+      const response = await callStore(
         PLATFORM_PATH.GET,
         {key},
         ENTRY_RESPONSE_SCHEMA,
       );
       return response.map(value => value.entry);
     },
-    compareAndSwap: req => call(PLATFORM_PATH.CAS, req, CAS_RESPONSE_SCHEMA),
+    compareAndSwap: req =>
+      callStore(PLATFORM_PATH.CAS, req, CAS_RESPONSE_SCHEMA),
     grantLease: async ttlMs => {
       const path = PLATFORM_PATH.LEASE_GRANT;
-      const response = await call(path, {ttlMs}, LEASE_RESPONSE_SCHEMA);
+      const response = await callStore(path, {ttlMs}, LEASE_RESPONSE_SCHEMA);
       return response.map(value => value.leaseId);
     },
     keepAlive: async leaseId => {
@@ -118,7 +132,7 @@
       return response.map(() => undefined);
     },
     watch: async (key, afterRevision, waitMs) => {
-      const response = await call(
+      const response = await callStore(
         PLATFORM_PATH.WATCH,
         {key, afterRevision, waitMs},
         ENTRY_RESPONSE_SCHEMA,
