--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -70,7 +70,14 @@
 
   /** Records the end of a granted request and frees its upstream slot. */
   recordEnd(service: string, report: EndReport): void {
-    this.queues.get(service)?.handleEndReport(report);
+    const ended = this.queues.get(service)?.handleEndReport(report);
+    if (!ended?.hasStartedBackoff) return;
+    this.log.info('upstream_backed_off', {
+      upstream: ended.instanceId,
+      end: report.end,
+      reportedBy: ended.entryId,
+      id: report.requestId,
+    });
   }
 
   /**
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -19,6 +19,7 @@
 import {createRateEstimator} from './placement_rate.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
+  EndedRun,
   EndReport,
   GrantRequest,
   QueueAnswer,
@@ -137,18 +138,30 @@
     }
   }
 
-  /** Frees the slot of a run and updates the estimates with its outcome. */
-  handleEndReport(report: EndReport): void {
+  /**
+   * Frees the slot of a run and updates the estimates with its outcome; returns
+   * what it ended, or null if the run is not known.
+   */
+  handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
+    let ended: EndedRun | null = null;
     for (const state of this.upstreams.values()) {
-      if (!state.runs.has(report.requestId)) continue;
+      const run = state.runs.get(report.requestId);
+      if (!run) continue;
+      const wasUsable = state.isUsable(now);
       state.recordEnd(report, now);
       if (report.end === RUN_END.COMPLETED) {
         this.latency.observeRun(this.upstreams.values(), report.runMs);
       }
+      ended = {
+        instanceId: state.spec.instanceId,
+        entryId: run.entryId,
+        hasStartedBackoff: wasUsable && !state.isUsable(now),
+      };
       break;
     }
     this.placeWaiting();
+    return ended;
   }
 
   /**
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -75,6 +75,15 @@
   readonly rateLimitPerS: number | null;
 }
 
+/** A run whose end was reported, and what that did to its upstream. */
+export interface EndedRun {
+  readonly instanceId: string;
+  /** Member that reported the end. */
+  readonly entryId: string;
+  /** Whether the upstream gets no requests for a while because of it. */
+  readonly hasStartedBackoff: boolean;
+}
+
 /** Answer of the queue to a grant request. */
 export type QueueAnswer =
   | {readonly kind: 'placed'; readonly placement: Placement}
