Undo the circle of imports in scheduling

Cause: upstream_choice, waiting_list and placement_rate imported each other in a circle. Change: hasRequiredVersion and WaitingRequest have files of their own, which all three import. Result: no behaviour changes; the tests of scheduling pass.

--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -17,6 +17,7 @@
 import {LatencyEstimator} from './latency_estimator.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
+import {hasRequiredVersion} from './required_version.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
@@ -28,11 +29,11 @@
   UpstreamSpec,
 } from './types.js';
 import type {Candidate} from './upstream_choice.js';
-import {hasRequiredVersion, UpstreamChooser} from './upstream_choice.js';
+import {UpstreamChooser} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
-import type {WaitingRequest} from './waiting_list.js';
 import {WaitingList} from './waiting_list.js';
+import type {WaitingRequest} from './waiting_request.js';
 
 /** Clock and retry budget that a queue is created with. */
 export interface DispatchQueueOptions {
--- a/packages/scheduling/src/placement_rate.ts
+++ b/packages/scheduling/src/placement_rate.ts
@@ -1,6 +1,6 @@
 import type {LatencyEstimator} from './latency_estimator.js';
+import {hasRequiredVersion} from './required_version.js';
 import type {GrantRequest} from './types.js';
-import {hasRequiredVersion} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import type {UpstreamState} from './upstream_state.js';
 
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -5,10 +5,11 @@
   RUN_TIME_WEIGHT,
 } from './constants.js';
 import type {LatencyEstimator} from './latency_estimator.js';
-import type {GrantRequest, UpstreamSpec} from './types.js';
+import {hasRequiredVersion} from './required_version.js';
+import type {GrantRequest} from './types.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import type {UpstreamState} from './upstream_state.js';
-import type {WaitingRequest} from './waiting_list.js';
+import type {WaitingRequest} from './waiting_request.js';
 
 /** An upstream and the estimated cost of running a request there. */
 export interface Candidate {
@@ -24,14 +25,6 @@
  */
 export type UpstreamChoice = Candidate | 'wait' | 'late';
 
-/** Whether an upstream has the software version that a request needs. */
-export function hasRequiredVersion(
-  {requiredVersion}: GrantRequest,
-  {softwareVersion}: UpstreamSpec,
-): boolean {
-  return requiredVersion === null || requiredVersion === softwareVersion;
-}
-
 /** The states that a request can use; not copied if it can use them all. */
 function withRequiredVersion(
   request: GrantRequest,
