--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,12 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
-import {PeerNetwork, UpstreamAgent} from '@fescuespool/transport';
+import type {ConnectSocket} from '@fescuespool/transport';
+import {
+  ConnectingAgent,
+  PeerNetwork,
+  UpstreamAgent,
+} from '@fescuespool/transport';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
@@ -58,6 +63,8 @@
   readonly bootClock: BootClock;
   readonly log: Logger;
   readonly wireFormat: WireFormat;
+  /** Opens connections to upstreams. */
+  readonly connect: ConnectSocket;
 }
 
 /**
@@ -85,7 +92,7 @@
   private isStopping = false;
 
   constructor(private readonly options: GatewayOptions) {
-    const {settings, clock, bootClock, log, wireFormat} = options;
+    const {settings, clock, bootClock, log, wireFormat, connect} = options;
     const peer = splitAddress(settings.peerAddress);
     this.configState = new ConfigState(bootClock, log);
     this.network = new PeerNetwork(peer);
@@ -148,7 +155,10 @@
       upstreamAgent: new UpstreamAgent(
         UPSTREAM_IDLE_TIMEOUT_MS,
         MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
+        connect,
       ),
+      singleUseAgent: new ConnectingAgent({}, connect),
+      connect,
       upstreams: this.upstreams,
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,5 +1,6 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {QuotaLedger} from '@fescuespool/scheduling';
+import type {ConnectSocket} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
 import type {ConfigState} from './config_state.js';
 import type {CrashGuard} from './crash_guard.js';
@@ -28,6 +29,9 @@
   readonly streamOrigins: StreamOriginDirectory;
   /** Pool of keep-alive connections to upstreams. */
   readonly upstreamAgent: Agent;
+  /** Opens a new connection to an upstream for each request. */
+  readonly singleUseAgent: Agent;
+  readonly connect: ConnectSocket;
   readonly upstreams: UpstreamRegistry;
   readonly random: () => number;
   /**
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,5 +1,5 @@
 import type {ValueOf} from '@fescuespool/common';
-import type {Placement} from '@fescuespool/scheduling';
+import type {Placement, UpstreamSpec} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
@@ -111,7 +111,7 @@
       minTimeoutMs,
       START_TIMEOUT_FACTOR * expectedStartMs,
     );
-    const {wireFormat, upstreamAgent} = this.gateway;
+    const {wireFormat, upstreamAgent, singleUseAgent} = this.gateway;
     return sendToUpstream(
       {
         upstream,
@@ -127,7 +127,7 @@
         }),
         body,
         // A reset on a reused connection leaves open whether the request ran.
-        agent: isRepeatable(admission.route) ? upstreamAgent : null,
+        agent: isRepeatable(admission.route) ? upstreamAgent : singleUseAgent,
         startTimeoutMs: this.options.mayRepeat
           ? Math.round(startTimeoutMs)
           : null,
@@ -316,14 +316,14 @@
    */
   private async probeUpstream(): Promise<ValueOf<typeof PROBE_RESULT>> {
     const {upstream} = this.placement;
-    if (await acceptsConnections(upstream.address)) return PROBE_RESULT.ALIVE;
+    const accepts = ({address}: UpstreamSpec): Promise<boolean> =>
+      acceptsConnections(address, this.gateway.connect);
+    if (await accepts(upstream)) return PROBE_RESULT.ALIVE;
     const others = this.gateway.upstreams.othersInZone(
       upstream,
       MAX_ZONE_PROBES,
     );
-    const probeResults = await Promise.all(
-      others.map(({address}) => acceptsConnections(address)),
-    );
+    const probeResults = await Promise.all(others.map(accepts));
     const isZoneReachable =
       probeResults.length === 0 || probeResults.includes(true);
     return isZoneReachable ? PROBE_RESULT.DIED : PROBE_RESULT.ZONE_UNREACHABLE;
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -1,8 +1,7 @@
 import type {UpstreamSpec} from '@fescuespool/scheduling';
-import type {HttpExchange} from '@fescuespool/transport';
+import type {ConnectSocket, HttpExchange} from '@fescuespool/transport';
 import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
-import net from 'node:net';
 import {splitAddress} from './address.js';
 import {
   LIVENESS_PROBE_TIMEOUT_MS,
@@ -18,8 +17,7 @@
   readonly path: string;
   readonly headers: string[];
   readonly body: Buffer;
-  /** Agent with reusable connections; null to open a new connection. */
-  readonly agent: Agent | null;
+  readonly agent: Agent;
   /** Timeout in milliseconds for the response head; null for no limit. */
   readonly startTimeoutMs: number | null;
   readonly signal: AbortSignal;
@@ -50,7 +48,7 @@
     rawPath: request.path,
     headers: request.headers,
     body: request.body,
-    agent: request.agent ?? undefined,
+    agent: request.agent,
     connectTimeoutMs: UPSTREAM_CONNECT_TIMEOUT_MS,
     responseTimeoutMs: request.startTimeoutMs ?? undefined,
     signal: request.signal,
@@ -109,10 +107,13 @@
  * Whether an upstream accepts a TCP connection within
  * LIVENESS_PROBE_TIMEOUT_MS.
  */
-export function acceptsConnections(address: string): Promise<boolean> {
+export function acceptsConnections(
+  address: string,
+  connect: ConnectSocket,
+): Promise<boolean> {
   const {host, port} = splitAddress(address);
   return new Promise(resolve => {
-    const socket = net.connect({host, port});
+    const socket = connect({host, port});
     const finish = (isAccepted: boolean): void => {
       clearTimeout(timer);
       socket.destroy();
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -1,4 +1,5 @@
 import type {ValueOf} from '@fescuespool/common';
+import type {Socket, TcpNetConnectOpts} from 'node:net';
 import type {SecureContextOptions} from 'node:tls';
 import type {CALL_ERROR_KIND} from './constants.js';
 
@@ -8,6 +9,9 @@
 /** Certificate, private key and CA for one side of a TLS connection. */
 export type TlsCredentials = Pick<SecureContextOptions, 'cert' | 'key' | 'ca'>;
 
+/** Opens a TCP connection. */
+export type ConnectSocket = (options: TcpNetConnectOpts) => Socket;
+
 /** Bytes sent to and received from peers, for the traffic statistics. */
 export interface ByteCounts {
   sent: number;
