Wait for all entries in the test of restored claims

Cause: the whole suite failed once in four tests of claim_gate.test.ts: each entry counts the time after a restore from when it learns of it, and the test went on when the first of them created claims again. Change: the test waits for all three entries, with keys of their own, and then asks for the first key.

--- a/packages/daemon/src/claim_gate.test.ts
+++ b/packages/daemon/src/claim_gate.test.ts
@@ -143,10 +143,14 @@
         reason: 'claim_unavailable',
         outcome: 'not_run',
       });
-      await waitUntil('the platform accepts claims again', async () => {
-        const response = await book('entry-2', key);
-        return response.status === 200;
-      });
+      // Each entry counts the time from when it learns of the restore.
+      for (const entry of ['entry-1', 'entry-2', 'entry-3']) {
+        await waitUntil(`${entry} creates claims again`, async () => {
+          const response = await book(entry, newKey());
+          return response.status === 200;
+        });
+      }
+      expect((await book('entry-2', key)).status).toBe(200);
       expect(await executionsOf(key)).toBe(1);
     });
   });
