Reach upstreams through neighbours where the own path is lost

What callers saw: at a gateway without a way to the engines 15 of 39 and 4 of 38 first attempts were served, 296 of 330 and 196 of 305 at the others, whose requests were refused as overloaded.

Cause: a gateway took its own path for the upstream. It had no other way to send, and its failures put sound upstreams into backoff for all. Class: a failure held against the far end without asking whether the near end is at fault.

Change: connections to upstreams come from UpstreamPaths: directly, or through a neighbour's tunnel (HTTP CONNECT at the next internal port, to registered upstreams only). Just the bytes take another way, so that at most once, limits, quotas, budgets, deadlines, callers that leave and whole responses stay as they are. A path is lost if a neighbour connects where this gateway could not; two lost paths and no direct connection since mean a cut from all, after which open connections are not used either. Lost paths are tried again every 300 ms. Up to three neighbours are asked, of different zones; one that can't help is left out for a second. An end is reported as cancelled if the own path is lost. A gateway that stops waits for the tunnels it forwards.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -179,15 +179,48 @@
 /** Timeout in milliseconds for connecting to an upstream. */
 export const UPSTREAM_CONNECT_TIMEOUT_MS = 250;
 
+/**
+ * Timeout in milliseconds for a connection to an upstream on any path: the direct
+ * one and then a neighbour's.
+ */
+export const ANY_PATH_TIMEOUT_MS = 700;
+
+/** Timeout in milliseconds of asking neighbours for a tunnel. */
+export const TUNNEL_TIMEOUT_MS = 280;
+
+/** Timeout in milliseconds for connecting to an upstream for a neighbour. */
+export const TUNNELLED_CONNECT_TIMEOUT_MS = 200;
+
+/** Time in milliseconds after which the next neighbour is asked too. */
+export const TUNNEL_HEDGE_MS = 50;
+
+/** Number of neighbours that are asked for a tunnel. */
+export const MAX_TUNNEL_ATTEMPTS = 3;
+
+/** Time in milliseconds for which a neighbour that could not help is not asked. */
+export const NEIGHBOUR_AVOIDED_MS = 1_000;
+
+/** Number of such neighbours that are remembered. */
+export const MAX_AVOIDED_NEIGHBOURS = 512;
+
+/** Number of tunnels that a gateway keeps open for others; bounds memory. */
+export const MAX_TUNNELS = 1_024;
+
+/** Number of lost paths without a working one that mean a cut from all. */
+export const MIN_LOST_UPSTREAMS = 2;
+
+/** Interval in milliseconds at which lost paths are tried again. */
+export const PATH_PROBE_INTERVAL_MS = 300;
+
+/** Number of lost paths that are tried at once. */
+export const MAX_LOST_PATH_PROBES = 4;
+
 /**
  * Number of other upstreams in a zone that are probed to distinguish the death
  * of an upstream from a network partition.
  */
 export const MAX_ZONE_PROBES = 3;
 
-/** Timeout in milliseconds of the connection that probes an upstream. */
-export const LIVENESS_PROBE_TIMEOUT_MS = 300;
-
 /**
  * Time in milliseconds for which an idle upstream connection may be reused,
  * unless the upstream announces a shorter one.
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -18,3 +18,15 @@
     this.status = REFUSAL_STATUS[reason];
   }
 }
+
+/** A connection to an upstream that could not be established. */
+export class PathError extends Error {
+  constructor(
+    message: string,
+    /** Whether this gateway's path is lost, which says nothing of the upstream. */
+    readonly isOwnFault: boolean,
+  ) {
+    super(message);
+    this.name = 'PathError';
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,11 +2,7 @@
 import {sleep} from '@fescuespool/common';
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
 import type {ConnectSocket} from '@fescuespool/transport';
-import {
-  ConnectingAgent,
-  PeerNetwork,
-  UpstreamAgent,
-} from '@fescuespool/transport';
+import {PeerNetwork} from '@fescuespool/transport';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
@@ -17,10 +13,8 @@
   CONFIG_AGE_MARGIN_MS,
   DEREGISTRATION_DELAY_MS,
   MAX_HEADER_BYTES,
-  MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
   MAX_STARTUP_WAIT_MS,
   STOP_MARGIN_MS,
-  UPSTREAM_IDLE_TIMEOUT_MS,
   USAGE_HUB_KEY,
 } from './constants.js';
 import {CrashGuard} from './crash_guard.js';
@@ -39,6 +33,7 @@
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
+import {UpstreamPaths} from './upstream_paths.js';
 import {UpstreamRegistry} from './upstream_registry.js';
 import {UsageExchange} from './usage_exchange.js';
 
@@ -53,6 +48,7 @@
   'readyPath',
   'peerAddress',
   'metricsPort',
+  'tunnelAddress',
   'logLevel',
 ] as const;
 
@@ -101,6 +97,7 @@
       zone: settings.zone,
       address: settings.peerAddress,
       isLeaving: false,
+      tunnelAddress: settings.tunnelAddress ?? null,
     });
     const {members, network} = this;
     this.peers = new GatewayPeers(members, network);
@@ -152,13 +149,15 @@
         this.upstreamLimits,
         instanceId => dispatchClient.reportLimit(instanceId),
       ),
-      upstreamAgent: new UpstreamAgent(
-        UPSTREAM_IDLE_TIMEOUT_MS,
-        MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
+      upstreamPaths: new UpstreamPaths({
+        clock,
+        log,
+        members,
         connect,
-      ),
-      singleUseAgent: new ConnectingAgent({}, connect),
-      connect,
+        random: Math.random,
+        addresses: () => this.upstreams.addresses,
+        isStopping: () => this.isStopping,
+      }),
       upstreams: this.upstreams,
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
@@ -195,7 +194,10 @@
     await this.network.listen({...this.peers.handlers, ...handlers});
     await listenOn(this.callerHttpServer, settings.callerAddress);
     await listenOn(this.readyServer, settings.readyAddress);
-    const {metricsPort} = settings;
+    const {metricsPort, tunnelAddress} = settings;
+    if (tunnelAddress !== undefined) {
+      await listenOn(this.context.upstreamPaths.tunnels.server, tunnelAddress);
+    }
     if (metricsPort !== undefined) {
       const {host} = splitAddress(settings.readyAddress);
       await listenOn(this.metricsServer, `${host}:${metricsPort}`);
@@ -222,6 +224,7 @@
   setUpstreams(upstreams: UpstreamsByService): void {
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(upstreams);
+    this.context.upstreamPaths.retain(this.upstreams.addresses);
     this.notifyConfigured();
   }
 
@@ -284,7 +287,9 @@
     this.callerHttpServer.close();
     this.callerHttpServer.closeIdleConnections();
     const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
-    await Promise.race([this.callerServer.whenIdle(), sleep(limitMs)]);
+    const {tunnels} = this.context.upstreamPaths;
+    const idle = [this.callerServer.whenIdle(), tunnels.whenIdle()];
+    await Promise.race([Promise.all(idle), sleep(limitMs)]);
     log.info('gateway_stopped', {cut: this.callerServer.openRequestCount});
   }
 
@@ -304,7 +309,7 @@
       server.close();
       server.closeAllConnections();
     }
-    this.context.upstreamAgent.destroy();
+    this.context.upstreamPaths.close();
   }
 
   private get isConfigured(): boolean {
@@ -348,6 +353,9 @@
     gauge('members_suspected', '', this.members.suspectedMembers.length);
     gauge('crash_causes', '', this.context.crashGuard.causes.length);
     gauge('upstreams_limited', '', this.context.limitObserver.limitedCount);
+    const {upstreamPaths} = this.context;
+    gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
+    gauge('tunnels_open', '', upstreamPaths.tunnels.count);
     gauge('usage_hub', '', this.members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
   }
 }
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,7 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {QuotaLedger} from '@fescuespool/scheduling';
-import type {ConnectSocket} from '@fescuespool/transport';
-import type {Agent} from 'node:http';
 import type {ConfigState} from './config_state.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {DispatchClient} from './dispatch_client.js';
@@ -11,6 +9,7 @@
 import type {GatewaySettings} from './settings.js';
 import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {WireFormat} from './types.js';
+import type {UpstreamPaths} from './upstream_paths.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
 /** Dependencies shared by all requests of a gateway. */
@@ -27,11 +26,7 @@
   readonly crashGuard: CrashGuard;
   readonly limitObserver: LimitObserver;
   readonly streamOrigins: StreamOriginDirectory;
-  /** Pool of keep-alive connections to upstreams. */
-  readonly upstreamAgent: Agent;
-  /** Opens a new connection to an upstream for each request. */
-  readonly singleUseAgent: Agent;
-  readonly connect: ConnectSocket;
+  readonly upstreamPaths: UpstreamPaths;
   readonly upstreams: UpstreamRegistry;
   readonly random: () => number;
   /**
--- a/packages/gateway/src/member_directory.test.ts
+++ b/packages/gateway/src/member_directory.test.ts
@@ -4,7 +4,13 @@
 import type {GatewayMember} from './types.js';
 
 function member(id: string, zone: string): GatewayMember {
-  return {id, zone, address: '127.0.0.1:1', isLeaving: false};
+  return {
+    id,
+    zone,
+    address: '127.0.0.1:1',
+    isLeaving: false,
+    tunnelAddress: null,
+  };
 }
 
 describe('MemberDirectory', () => {
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -145,9 +145,9 @@
       this.returnGrant(placement, RUN_END.CANCELLED);
       throw this.createNotResumableRefusal();
     }
-    const {wireFormat, upstreamAgent, log} = this.gateway;
+    const {wireFormat, upstreamPaths, log} = this.gateway;
     const {signal} = this.request.timer;
-    const life = await checkLife(upstream, wireFormat, upstreamAgent, signal);
+    const life = await checkLife(upstream, wireFormat, upstreamPaths, signal);
     if (life === 'same') return true;
     const {requestId} = this.request.head;
     log.warn('upstream_life_unconfirmed', {
@@ -234,7 +234,7 @@
     }
     const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} =
       answer.placement;
-    const {dispatchClient, limitObserver} = this.gateway;
+    const {dispatchClient, limitObserver, upstreamPaths} = this.gateway;
     this.gateway.log.info('placed', {
       id: head.requestId,
       service: this.service,
@@ -246,6 +246,7 @@
       send: this.sends + 1,
       version: upstream.softwareVersion ?? undefined,
       grantedBy: dispatchClient.granterOf(head.requestId),
+      isTunnelled: upstreamPaths.usesTunnel(upstream.address) || undefined,
       limitPerS: limitObserver.limitToldBy(upstream) ?? undefined,
     });
     return answer.placement;
--- a/packages/gateway/src/send_outcome.ts
+++ b/packages/gateway/src/send_outcome.ts
@@ -13,6 +13,8 @@
   readonly mayHaveRun: boolean;
   /** Whether the connection broke or could not be established. */
   readonly isConnectionFailure: boolean;
+  /** Whether this gateway's path to the upstream is lost. */
+  readonly isOwnFault: boolean;
   /** The upstream's error response, sent to the caller if no retry succeeds. */
   readonly errorResponse: BufferedResponse | null;
   /** Mean milliseconds between two events; null with fewer than two. */
@@ -27,6 +29,7 @@
   mayHaveArrived: true,
   mayHaveRun: true,
   isConnectionFailure: false,
+  isOwnFault: false,
   errorResponse: null,
   eventGapMs: null,
   cause: '',
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -19,6 +19,11 @@
   readyPath: z.string().startsWith('/'),
   /** Listen address for the other gateways, as host:port. */
   peerAddress: ADDRESS,
+  /**
+   * Listen address for the other gateways' tunnels to upstreams, as host:port;
+   * absent to open none.
+   */
+  tunnelAddress: ADDRESS.optional(),
   /**
    * Port of the metrics endpoint, on the host of readyAddress; absent to serve
    * no metrics.
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -152,4 +152,6 @@
   readonly address: string;
   /** Whether it is shutting down and must not own queues any more. */
   readonly isLeaving: boolean;
+  /** Host and port at which it opens tunnels to upstreams; null if it doesn't. */
+  readonly tunnelAddress: string | null;
 }
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,21 +1,21 @@
-import type {ValueOf} from '@fescuespool/common';
-import type {Placement, UpstreamSpec} from '@fescuespool/scheduling';
+import type {Placement} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
 import {
   EVENT_GAP_TIMEOUT_FACTOR,
-  MAX_ZONE_PROBES,
   MIN_CALL_START_TIMEOUT_MS,
   MIN_STREAM_EVENT_TIMEOUT_MS,
   MIN_STREAM_START_TIMEOUT_MS,
   START_TIMEOUT_FACTOR,
 } from './constants.js';
+import {checkForDeath} from './death_probe.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {RouteLabels} from './gateway_metrics.js';
 import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import {endToReport} from './send_blame.js';
 import type {SendOutcome} from './send_outcome.js';
 import {COMPLETED, failedRun, notRun} from './send_outcome.js';
 import type {RelayResult, StreamProgress} from './stream_relay.js';
@@ -23,11 +23,7 @@
 import {StreamVersionTracker} from './stream_version_tracker.js';
 import type {Route, UpstreamResponseHead} from './types.js';
 import type {SendResult} from './upstream_send.js';
-import {
-  acceptsConnections,
-  bufferResponse,
-  sendToUpstream,
-} from './upstream_send.js';
+import {bufferResponse, sendToUpstream} from './upstream_send.js';
 
 /** Statuses that promise the caller that a request has not and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -35,14 +31,6 @@
 const FIRST_REDIRECT = 300;
 const OK = 200;
 
-/** What probing an upstream shows after a connection to it has failed. */
-const PROBE_RESULT = {
-  ALIVE: 'alive',
-  DIED: 'died',
-  /** Nor do the other probed upstreams of its zone accept connections. */
-  ZONE_UNREACHABLE: 'zone_unreachable',
-} as const;
-
 /** The send's place in its request. */
 export interface AttemptOptions {
   /** Whether the request may run again, so that this send may time out. */
@@ -87,7 +75,8 @@
       upstreams.recordConnectionFailure(instanceId);
     }
     const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
-    const {end, eventGapMs} = outcome;
+    const {eventGapMs} = outcome;
+    const end = await endToReport(outcome, this.placement, this.gateway);
     const load = isStream(this.request.admission.route)
       ? null
       : this.reportedLoad;
@@ -111,7 +100,7 @@
       minTimeoutMs,
       START_TIMEOUT_FACTOR * expectedStartMs,
     );
-    const {wireFormat, upstreamAgent, singleUseAgent} = this.gateway;
+    const {wireFormat, upstreamPaths} = this.gateway;
     return sendToUpstream(
       {
         upstream,
@@ -127,7 +116,10 @@
         }),
         body,
         // A reset on a reused connection leaves open whether the request ran.
-        agent: isRepeatable(admission.route) ? upstreamAgent : singleUseAgent,
+        agent: upstreamPaths.agentFor(
+          upstream.address,
+          isRepeatable(admission.route),
+        ),
         startTimeoutMs: this.options.mayRepeat
           ? Math.round(startTimeoutMs)
           : null,
@@ -164,6 +156,7 @@
         return {
           ...notRun(RUN_END.UNREACHABLE, sent.cause, false),
           isConnectionFailure: true,
+          isOwnFault: sent.isOwnFault,
         };
       case 'broken':
         return {
@@ -309,47 +302,6 @@
     metrics.recordFirstEvent(this.routeLabels, this.upstreamState, startMs);
   }
 
-  /**
-   * Finds out whether the upstream has died. If the probed upstreams in its zone
-   * can't be reached either, a network partition is assumed, which says nothing
-   * about the request.
-   */
-  private async probeUpstream(): Promise<ValueOf<typeof PROBE_RESULT>> {
-    const {upstream} = this.placement;
-    const accepts = ({address}: UpstreamSpec): Promise<boolean> =>
-      acceptsConnections(address, this.gateway.connect);
-    if (await accepts(upstream)) return PROBE_RESULT.ALIVE;
-    const others = this.gateway.upstreams.othersInZone(
-      upstream,
-      MAX_ZONE_PROBES,
-    );
-    const probeResults = await Promise.all(others.map(accepts));
-    const isZoneReachable =
-      probeResults.length === 0 || probeResults.includes(true);
-    return isZoneReachable ? PROBE_RESULT.DIED : PROBE_RESULT.ZONE_UNREACHABLE;
-  }
-
-  /** Probes the upstream and announces its death if it has died. */
-  private async checkForDeath(): Promise<void> {
-    const {upstream} = this.placement;
-    const {log, metrics, crashGuard} = this.gateway;
-    const {fingerprint, head} = this.request;
-    const hasBegun = this.progress.hasSurvived;
-    const result = await this.probeUpstream();
-    log.info('upstream_probed', {
-      id: head.requestId,
-      upstream: upstream.instanceId,
-      result,
-      hasBegun,
-      fingerprint,
-      promptParts: head.promptParts.join(',') || undefined,
-    });
-    metrics.recordProbe(this.routeLabels, result, hasBegun);
-    if (result !== PROBE_RESULT.DIED) return;
-    const parts = hasBegun ? [] : head.promptParts;
-    crashGuard.announceDeath(upstream.instanceId, {fingerprint, parts});
-  }
-
   private reportFailure(outcome: SendOutcome, runMs: number): void {
     const {upstream} = this.placement;
     const {end, cause, mayHaveRun} = outcome;
@@ -366,7 +318,10 @@
     // A broken connection may mean that the upstream died with this request in
     // flight.
     if (!outcome.isConnectionFailure || !mayHaveRun) return;
-    void this.checkForDeath();
+    void checkForDeath(this.gateway, this.request, upstream, {
+      labels: this.routeLabels,
+      hasBegun: this.progress.hasSurvived,
+    });
   }
 }
 
--- a/packages/gateway/src/upstream_life.ts
+++ b/packages/gateway/src/upstream_life.ts
@@ -1,12 +1,12 @@
 import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {openExchange, readBody} from '@fescuespool/transport';
-import type {Agent} from 'node:http';
 import {
+  ANY_PATH_TIMEOUT_MS,
   LIFE_CHECK_TIMEOUT_MS,
   MAX_LIFE_RESPONSE_BYTES,
-  UPSTREAM_CONNECT_TIMEOUT_MS,
 } from './constants.js';
 import type {WireFormat} from './types.js';
+import type {UpstreamPaths} from './upstream_paths.js';
 
 const OK = 200;
 
@@ -32,7 +32,7 @@
 export async function checkLife(
   upstream: UpstreamSpec,
   {startTimePath, parseStartTime}: WireFormat,
-  agent: Agent,
+  paths: UpstreamPaths,
   signal: AbortSignal,
 ): Promise<LifeCheck> {
   if (startTimePath === null || upstream.startedAtUnixMs === null) {
@@ -41,8 +41,8 @@
   const opened = await openExchange({
     url: `http://${upstream.address}${startTimePath}`,
     method: 'GET',
-    agent,
-    connectTimeoutMs: UPSTREAM_CONNECT_TIMEOUT_MS,
+    agent: paths.agentFor(upstream.address, true),
+    connectTimeoutMs: ANY_PATH_TIMEOUT_MS,
     responseTimeoutMs: LIFE_CHECK_TIMEOUT_MS,
     signal,
   });
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -12,6 +12,7 @@
   private readonly byId = new Map<string, UpstreamSpec>();
   /** Software versions of the services. */
   readonly versions = new VersionHistory();
+  private registeredAddresses: ReadonlySet<string> = new Set();
   private readonly serviceById = new Map<string, string>();
   /**
    * Monotonic milliseconds of each upstream's last complete response, or
@@ -27,6 +28,11 @@
     return this.byId.size === 0;
   }
 
+  /** Addresses of the registered upstreams. */
+  get addresses(): ReadonlySet<string> {
+    return this.registeredAddresses;
+  }
+
   /**
    * Replaces the registered upstreams and remembers those that were removed, at a
    * monotonic time in milliseconds.
@@ -41,6 +47,9 @@
         this.serviceById.set(spec.instanceId, service);
       }
     }
+    this.registeredAddresses = new Set(
+      [...this.byId.values()].map(({address}) => address),
+    );
     this.versions.record(
       new Map(
         [...upstreams].map(([service, specs]) => [
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -1,13 +1,9 @@
 import type {UpstreamSpec} from '@fescuespool/scheduling';
-import type {ConnectSocket, HttpExchange} from '@fescuespool/transport';
+import type {HttpExchange} from '@fescuespool/transport';
 import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
-import {splitAddress} from './address.js';
-import {
-  LIVENESS_PROBE_TIMEOUT_MS,
-  MAX_BUFFERED_RESPONSE_BYTES,
-  UPSTREAM_CONNECT_TIMEOUT_MS,
-} from './constants.js';
+import {ANY_PATH_TIMEOUT_MS, MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
+import {PathError} from './errors.js';
 import type {UpstreamResponseHead, WireFormat} from './types.js';
 
 /** A request to send to an upstream. */
@@ -31,7 +27,12 @@
       readonly head: UpstreamResponseHead;
     }
   /** No byte was sent. */
-  | {readonly kind: 'unreachable'; readonly cause: string}
+  | {
+      readonly kind: 'unreachable';
+      readonly cause: string;
+      /** Whether this gateway's path is lost, not the upstream. */
+      readonly isOwnFault: boolean;
+    }
   /** The connection broke; the request may have run. */
   | {readonly kind: 'broken'; readonly cause: string}
   | {readonly kind: 'silent'}
@@ -49,7 +50,7 @@
     headers: request.headers,
     body: request.body,
     agent: request.agent,
-    connectTimeoutMs: UPSTREAM_CONNECT_TIMEOUT_MS,
+    connectTimeoutMs: ANY_PATH_TIMEOUT_MS,
     responseTimeoutMs: request.startTimeoutMs ?? undefined,
     signal: request.signal,
   });
@@ -58,11 +59,15 @@
     const head = wireFormat.parseResponse(res.statusCode ?? 0, res.headers);
     return {kind: 'answered', exchange: opened.value, head};
   }
-  const {kind, isTimeout, message} = opened.error;
+  const {kind, isTimeout, message, cause} = opened.error;
   if (kind === CALL_ERROR_KIND.NOT_SENT) {
     return request.signal.aborted
       ? {kind: 'aborted'}
-      : {kind: 'unreachable', cause: message};
+      : {
+          kind: 'unreachable',
+          cause: message,
+          isOwnFault: cause instanceof PathError && cause.isOwnFault,
+        };
   }
   if (request.signal.aborted) return {kind: 'aborted'};
   return isTimeout ? {kind: 'silent'} : {kind: 'broken', cause: message};
@@ -102,25 +107,3 @@
   const {rawHeaders} = res;
   return {status: res.statusCode ?? 0, rawHeaders, body: Buffer.concat(chunks)};
 }
-
-/**
- * Whether an upstream accepts a TCP connection within
- * LIVENESS_PROBE_TIMEOUT_MS.
- */
-export function acceptsConnections(
-  address: string,
-  connect: ConnectSocket,
-): Promise<boolean> {
-  const {host, port} = splitAddress(address);
-  return new Promise(resolve => {
-    const socket = connect({host, port});
-    const finish = (isAccepted: boolean): void => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(isAccepted);
-    };
-    const timer = setTimeout(() => finish(false), LIVENESS_PROBE_TIMEOUT_MS);
-    socket.once('connect', () => finish(true));
-    socket.once('error', () => finish(false));
-  });
-}
--- a/packages/gateway/src/usage_exchange.test.ts
+++ b/packages/gateway/src/usage_exchange.test.ts
@@ -63,7 +63,13 @@
 
   get member(): GatewayMember {
     const address = `127.0.0.1:${this.port}`;
-    return {id: this.id, zone: 'z', address, isLeaving: false};
+    return {
+      id: this.id,
+      zone: 'z',
+      address,
+      isLeaving: false,
+      tunnelAddress: null,
+    };
   }
 
   async start(all: readonly GatewayMember[]): Promise<void> {
--- a/packages/transport/src/constants.ts
+++ b/packages/transport/src/constants.ts
@@ -20,3 +20,17 @@
 
 /** Unsent bytes to a peer above which its connection is closed. */
 export const MAX_PEER_BACKLOG_BYTES = 16_777_216;
+
+/** HTTP statuses with which a tunnel is opened or refused. */
+export const TUNNEL_STATUS = {
+  OPEN: 200,
+  /** The target is not one to which tunnels are permitted. */
+  FORBIDDEN: 403,
+  /** The target can't be reached from here either. */
+  UNREACHABLE: 502,
+  /** This member can't help at the moment. */
+  UNAVAILABLE: 503,
+} as const;
+
+/** Time in milliseconds without data after which a tunnel is closed. */
+export const TUNNEL_IDLE_TIMEOUT_MS = 60_000;
--- a/packages/transport/src/errors.ts
+++ b/packages/transport/src/errors.ts
@@ -7,8 +7,9 @@
     message: string,
     /** Whether the response head did not arrive within its timeout. */
     readonly isTimeout = false,
+    options?: ErrorOptions,
   ) {
-    super(message);
+    super(message, options);
     this.name = 'CallError';
   }
 }
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -71,11 +71,12 @@
     const req = createRequest(call);
     let isConnected = false;
     let isTimeout = false;
-    const fail = (message: string): void => {
+    const fail = (cause: Error): void => {
+      const {message} = cause;
       const kind = isConnected
         ? CALL_ERROR_KIND.AMBIGUOUS
         : CALL_ERROR_KIND.NOT_SENT;
-      resolve(err(new CallError(kind, message, isTimeout)));
+      resolve(err(new CallError(kind, message, isTimeout, {cause})));
     };
     const connectTimer = setTimeout(
       () => req.destroy(new Error('connection timed out')),
@@ -104,7 +105,7 @@
     req.on('error', error => {
       hasFailed = true;
       stopTimers();
-      fail(error.message);
+      fail(error);
     });
     req.on('response', res => {
       stopTimers();
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -6,5 +6,7 @@
 export * from './peer_connection.js';
 export * from './peer_network.js';
 export * from './platform_client.js';
+export * from './tunnel_client.js';
+export * from './tunnel_server.js';
 export * from './types.js';
 export * from './upstream_agent.js';
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -1,17 +1,23 @@
 import type {ValueOf} from '@fescuespool/common';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import type {SecureContextOptions} from 'node:tls';
-import type {CALL_ERROR_KIND} from './constants.js';
+import type {CALL_ERROR_KIND, TUNNEL_STATUS} from './constants.js';
 
 /** Whether a failed call can have reached the server. */
 export type CallErrorKind = ValueOf<typeof CALL_ERROR_KIND>;
 
+/** HTTP status with which a tunnel is opened or refused. */
+export type TunnelStatus = ValueOf<typeof TUNNEL_STATUS>;
+
 /** Certificate, private key and CA for one side of a TLS connection. */
 export type TlsCredentials = Pick<SecureContextOptions, 'cert' | 'key' | 'ca'>;
 
-/** Opens a TCP connection. */
+/** Starts to open a TCP connection. */
 export type ConnectSocket = (options: TcpNetConnectOpts) => Socket;
 
+/** Opens a TCP connection; rejects if that fails. */
+export type OpenSocket = (options: TcpNetConnectOpts) => Promise<Socket>;
+
 /** Bytes sent to and received from peers, for the traffic statistics. */
 export interface ByteCounts {
   sent: number;
--- a/packages/transport/src/upstream_agent.ts
+++ b/packages/transport/src/upstream_agent.ts
@@ -1,21 +1,39 @@
 import http from 'node:http';
 import type {ClientRequest, ClientRequestArgs} from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
-import type {ConnectSocket} from './types.js';
+import type {OpenSocket} from './types.js';
+
+/** Called with a connection, or with the error that prevented it. */
+type OnCreated = (error: Error | null, socket: Socket) => void;
 
 /** Agent that opens each connection with the given function. */
-export class ConnectingAgent extends http.Agent {
+class OpeningAgent extends http.Agent {
   constructor(
     options: http.AgentOptions,
-    private readonly connect: ConnectSocket,
+    private readonly open: OpenSocket,
   ) {
     super(options);
   }
 
-  override createConnection(options: ClientRequestArgs): Socket {
+  override createConnection(
+    options: ClientRequestArgs,
+    onCreated?: OnCreated,
+  ): undefined {
     // Its path is that of the request, which would name a Unix socket here.
     const tcpOptions = {...options, path: undefined};
-    return this.connect(tcpOptions as unknown as TcpNetConnectOpts);
+    const created = this.open(tcpOptions as unknown as TcpNetConnectOpts);
+    created.then(
+      socket => onCreated?.(null, socket),
+      // The socket is not used if there is an error.
+      (error: Error) => (onCreated as (error: Error) => void)(error),
+    );
+  }
+}
+
+/** Agent that opens a connection for each request. */
+export class SingleUseAgent extends OpeningAgent {
+  constructor(open: OpenSocket) {
+    super({}, open);
   }
 }
 
@@ -23,13 +41,13 @@
  * Agent that pools connections to upstreams. Bytes received on an idle
  * connection belong to no response, so they close it.
  */
-export class UpstreamAgent extends ConnectingAgent {
+export class UpstreamAgent extends OpeningAgent {
   /**
    * Keeps up to `maxIdle` idle connections to each upstream, for up to `idleMs`
    * milliseconds.
    */
-  constructor(idleMs: number, maxIdle: number, connect: ConnectSocket) {
-    super({keepAlive: true, maxFreeSockets: maxIdle, timeout: idleMs}, connect);
+  constructor(idleMs: number, maxIdle: number, open: OpenSocket) {
+    super({keepAlive: true, maxFreeSockets: maxIdle, timeout: idleMs}, open);
   }
 
   override keepSocketAlive(socket: Socket): boolean {
