Send brittle upstreams no more requests than they may reject

Change: the number travels with the statements about rate limits, at once to the owner of the queue and first to a new one. mayRiskRejection, on plain data, lets half of that number be on its way unanswered, at least one, and nothing for 1.1 s after a rejection: two owners stay within the number.

--- a/packages/gateway/src/limit_observer.ts
+++ b/packages/gateway/src/limit_observer.ts
@@ -1,11 +1,13 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {
+  LimitStatement,
+  NamedLimits,
   Placement,
   UpstreamLimits,
   UpstreamSpec,
 } from '@fescuespool/scheduling';
 
-/** Records what upstreams tell this gateway about the rate that they accept. */
+/** Records what upstreams tell this gateway about their limits. */
 export class LimitObserver {
   constructor(
     private readonly clock: Clock,
@@ -19,33 +21,35 @@
   /** Number of upstreams that last told this gateway a limit. */
   get limitedCount(): number {
     const nowMs = this.clock.monotonicMs();
-    return this.limits
-      .statementsTo(this.memberId, nowMs)
-      .filter(({perSecond}) => perSecond !== null).length;
+    return this.limits.statementsTo(this.memberId, nowMs).filter(namesLimit)
+      .length;
   }
 
   /**
-   * Records the limit in requests per second that a response names, or null for
-   * none. The request's send time is in monotonic milliseconds.
+   * Records the limits that a response names. The request's send time is in
+   * monotonic milliseconds.
    */
   recordResponse(
     {upstream, rateLimitPerS}: Placement,
-    perSecond: number | null,
+    limits: NamedLimits,
     request: {readonly requestId: string; readonly sentAtMs: number},
   ): void {
     const {instanceId, startedAtUnixMs} = upstream;
-    const before = this.limitToldBy(upstream);
-    const isLimited = before !== null || rateLimitPerS !== null;
-    if (perSecond === null && !isLimited) return;
+    const before = this.statementOf(upstream);
+    const wasLimited = before !== null && namesLimit(before);
+    const isLimited = wasLimited || rateLimitPerS !== null;
+    if (!namesLimit(limits) && !isLimited) return;
     const hasChanged = this.limits.record(this.memberId, {
       instanceId,
       startedAtUnixMs,
-      perSecond,
+      ...limits,
       // A response may be older than one that arrived before it, unless its
       // request was sent after that.
-      statedAtMs:
-        perSecond === null ? request.sentAtMs : this.clock.monotonicMs(),
+      statedAtMs: namesLimit(limits)
+        ? this.clock.monotonicMs()
+        : request.sentAtMs,
     });
+    const {perSecond, maxRejectionsPerS} = limits;
     // The dispatcher must hear at once that a limit which others told it is over.
     if (hasChanged || perSecond !== rateLimitPerS) this.onChange(instanceId);
     if (!hasChanged) return;
@@ -53,14 +57,22 @@
       id: request.requestId,
       upstream: instanceId,
       perSecond: perSecond ?? 'none',
-      before: before ?? 'none',
+      before: before?.perSecond ?? 'none',
+      maxRejectionsPerS: maxRejectionsPerS ?? undefined,
     });
   }
 
   /** Limit in requests per second that an upstream last told this gateway. */
   limitToldBy(upstream: UpstreamSpec): number | null {
+    return this.statementOf(upstream)?.perSecond ?? null;
+  }
+
+  private statementOf(upstream: UpstreamSpec): LimitStatement | null {
     const nowMs = this.clock.monotonicMs();
-    const told = this.limits.statementTo(this.memberId, upstream, nowMs);
-    return told?.perSecond ?? null;
+    return this.limits.statementTo(this.memberId, upstream, nowMs);
   }
 }
+
+function namesLimit({perSecond, maxRejectionsPerS}: NamedLimits): boolean {
+  return perSecond !== null || maxRejectionsPerS !== null;
+}
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -89,6 +89,7 @@
   instanceId: ID,
   startedAtUnixMs: z.number().nullable(),
   perSecond: z.number().min(0).nullable(),
+  maxRejectionsPerS: z.number().min(0).nullable().default(null),
   ageMs: MILLISECONDS,
 });
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,5 +1,9 @@
 import type {ValueOf} from '@fescuespool/common';
-import type {QuotaLimit, ReportedLoad} from '@fescuespool/scheduling';
+import type {
+  NamedLimits,
+  QuotaLimit,
+  ReportedLoad,
+} from '@fescuespool/scheduling';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {GATEWAY_REFUSAL, ROUTE_KIND} from './constants.js';
 
@@ -110,11 +114,7 @@
   /** Whether the address now belongs to another upstream instance. */
   readonly isInstanceMismatch: boolean;
   readonly load: ReportedLoad | null;
-  /**
-   * Requests per second that the upstream accepts from all gateways together;
-   * null if it names no limit.
-   */
-  readonly rateLimitPerS: number | null;
+  readonly limits: NamedLimits;
 }
 
 /** Converts between the headers of a wire format and the gateway's types. */
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -134,16 +134,15 @@
     });
   }
 
-  /** Records what the response head says of the upstream's rate limit. */
+  /** Records what the response head says of the upstream's limits. */
   private recordLimit(head: UpstreamResponseHead): void {
     // Another upstream at the same address sent it, or it is a late response.
     if (head.isInstanceMismatch || this.isForOtherRequest(head)) return;
     const {requestId} = this.request.head;
-    this.gateway.limitObserver.recordResponse(
-      this.placement,
-      head.rateLimitPerS,
-      {requestId, sentAtMs: this.sentAtMs},
-    );
+    this.gateway.limitObserver.recordResponse(this.placement, head.limits, {
+      requestId,
+      sentAtMs: this.sentAtMs,
+    });
   }
 
   private isForOtherRequest({requestId}: UpstreamResponseHead): boolean {
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -177,3 +177,15 @@
 
 /** Share of a quota's tolerance that one member's bucket may use. */
 export const QUOTA_TOLERANCE_SHARE = 0.3;
+
+/**
+ * Share of the rejections that an upstream bears which one dispatcher may cause:
+ * there may be two in a partition.
+ */
+export const BRITTLE_RISK_SHARE = 0.5;
+
+/**
+ * Time in milliseconds for which an upstream that bears few rejections gets no
+ * requests after one: longer than the second in which it counts them.
+ */
+export const BRITTLE_PAUSE_MS = 1_100;
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -17,6 +17,7 @@
 import {LatencyEstimator} from './latency_estimator.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
+import {mayRiskRejection} from './rejection_risk.js';
 import {hasRequiredVersion} from './required_version.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
@@ -308,7 +309,13 @@
   private hasRoom(state: UpstreamState, now: number): boolean {
     const {rateLimiter} = this.options;
     return (
-      state.freeSlots(now) > 0 && rateLimiter.waitMs(state.spec, now) === 0
+      state.freeSlots(now) > 0 &&
+      rateLimiter.waitMs(state.spec, now) === 0 &&
+      mayRiskRejection({
+        maxRejectionsPerS: rateLimiter.maxRejectionsPerS(state.spec, now),
+        unconfirmedRuns: state.unconfirmedRuns,
+        sinceRejectionMs: now - state.lastRejectionMs,
+      })
     );
   }
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,7 @@
 export * from './entry_monitor.js';
 export * from './latency_estimator.js';
 export * from './placement_rate.js';
+export * from './rejection_risk.js';
 export * from './required_version.js';
 export * from './retry_budget.js';
 export * from './start_time_model.js';
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -9,7 +9,7 @@
   RunEnd,
   UpstreamSpec,
 } from '../types.js';
-import {UpstreamLimits} from '../upstream_limits.js';
+import {NO_LIMITS, UpstreamLimits} from '../upstream_limits.js';
 import {UpstreamRateLimiter} from '../upstream_rate_limiter.js';
 
 /** Entry of all requests. */
@@ -121,8 +121,20 @@
     const statedAtMs = this.nowMs;
     this.limits.record('gateway', {
       ...upstream(instanceId),
+      ...NO_LIMITS,
       perSecond,
       statedAtMs,
     });
   }
+
+  /** Lets an upstream say how many rejections a second it bears. */
+  limitRejections(instanceId: string, maxRejectionsPerS: number): void {
+    const statedAtMs = this.nowMs;
+    this.limits.record('gateway', {
+      ...upstream(instanceId),
+      ...NO_LIMITS,
+      maxRejectionsPerS,
+      statedAtMs,
+    });
+  }
 }
--- a/packages/scheduling/src/upstream_limits.test.ts
+++ b/packages/scheduling/src/upstream_limits.test.ts
@@ -4,7 +4,7 @@
   LIMIT_SUPERSEDED_AFTER_MS,
 } from './constants.js';
 import type {LimitStatement} from './upstream_limits.js';
-import {limitInForce, UpstreamLimits} from './upstream_limits.js';
+import {limitInForce, NO_LIMITS, UpstreamLimits} from './upstream_limits.js';
 
 const UPSTREAM = {instanceId: 'u', startedAtUnixMs: 1};
 
@@ -12,7 +12,7 @@
   statedAtMs: number,
   perSecond: number | null,
 ): LimitStatement {
-  return {...UPSTREAM, statedAtMs, perSecond};
+  return {...UPSTREAM, ...NO_LIMITS, statedAtMs, perSecond};
 }
 
 describe('limitInForce', () => {
--- a/packages/scheduling/src/upstream_limits.ts
+++ b/packages/scheduling/src/upstream_limits.ts
@@ -1,4 +1,5 @@
 import {LRUCache} from 'lru-cache';
+import {isDeepStrictEqual} from 'node:util';
 import {
   LIMIT_STATEMENT_TTL_MS,
   LIMIT_SUPERSEDED_AFTER_MS,
@@ -9,10 +10,16 @@
 /** Identifies one life of an upstream, which may keep its instance id. */
 export type UpstreamLife = Pick<UpstreamSpec, 'instanceId' | 'startedAtUnixMs'>;
 
-/** What an upstream last told one gateway about the rate that it accepts. */
-export interface LimitStatement extends UpstreamLife {
-  /** Requests per second of all gateways together; null if it named no limit. */
+/** Limits that an upstream names for all gateways together; null for none. */
+export interface NamedLimits {
+  /** Requests per second that it accepts. */
   readonly perSecond: number | null;
+  /** Rejections for want of room per second beyond which it crashes. */
+  readonly maxRejectionsPerS: number | null;
+}
+
+/** What an upstream last told one gateway about its limits. */
+export interface LimitStatement extends UpstreamLife, NamedLimits {
   /**
    * Monotonic milliseconds: of the response that named the limit, or of the
    * request whose response named none.
@@ -28,19 +35,26 @@
   return `${instanceId}@${startedAtUnixMs ?? ''}`;
 }
 
+/** Limits of an upstream that names none. */
+export const NO_LIMITS: NamedLimits = {
+  perSecond: null,
+  maxRejectionsPerS: null,
+};
+
 /**
- * The limit that follows from the latest statement to each gateway, in requests
- * per second; null for none. The newest limit counts. A gateway that was told
+ * The limit that follows from the latest statement to each gateway, per second;
+ * null for none. The newest limit counts. A gateway that was told
  * none speaks for itself only, unless the others have not been told a limit for
  * LIMIT_SUPERSEDED_AFTER_MS before.
  */
 export function limitInForce(
   statements: Iterable<LimitStatement>,
+  name: keyof NamedLimits = 'perSecond',
 ): number | null {
   let newest: LimitStatement | null = null;
   let endedAtMs = -Infinity;
   for (const statement of statements) {
-    if (statement.perSecond === null) {
+    if (statement[name] === null) {
       endedAtMs = Math.max(endedAtMs, statement.statedAtMs);
     } else if (!newest || statement.statedAtMs > newest.statedAtMs) {
       newest = statement;
@@ -49,7 +63,7 @@
   if (!newest) return null;
   const isSuperseded =
     endedAtMs - newest.statedAtMs > LIMIT_SUPERSEDED_AFTER_MS;
-  return isSuperseded ? null : newest.perSecond;
+  return isSuperseded ? null : newest[name];
 }
 
 /** Statements of upstreams about their limits, by the gateway that was told. */
@@ -71,16 +85,23 @@
     if (before && before.statedAtMs > statement.statedAtMs) return false;
     statements.set(gatewayId, statement);
     this.byUpstream.set(key, statements);
-    return (before?.perSecond ?? null) !== statement.perSecond;
+    return !isDeepStrictEqual(limitsOf(before), limitsOf(statement));
   }
 
-  /** The limit in force in requests per second; null for none. */
-  limitOf(upstream: UpstreamLife, nowMs: number): number | null {
+  /** The limit in force, per second; null for none. */
+  limitOf(
+    upstream: UpstreamLife,
+    nowMs: number,
+    name: keyof NamedLimits = 'perSecond',
+  ): number | null {
     // Asked for each upstream at each placement; mostly none has a limit.
     if (this.byUpstream.size === 0) return null;
     const statements = this.byUpstream.get(upstreamLifeKey(upstream));
     if (!statements) return null;
-    return limitInForce([...statements.values()].filter(isRecentAt(nowMs)));
+    return limitInForce(
+      [...statements.values()].filter(isRecentAt(nowMs)),
+      name,
+    );
   }
 
   /** The recent statement of an upstream to a gateway; null for none. */
@@ -107,6 +128,13 @@
   }
 }
 
+function limitsOf({
+  perSecond,
+  maxRejectionsPerS,
+}: NamedLimits = NO_LIMITS): NamedLimits {
+  return {perSecond, maxRejectionsPerS};
+}
+
 function isRecentAt(nowMs: number): (statement: LimitStatement) => boolean {
   return ({statedAtMs}) => nowMs - statedAtMs <= LIMIT_STATEMENT_TTL_MS;
 }
--- a/packages/scheduling/src/upstream_rate_limiter.test.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.test.ts
@@ -32,7 +32,12 @@
       cutSinceMs = isCut(now) ? (cutSinceMs ?? now) : null;
       if (now % EXCHANGE_INTERVAL_MS === 0) this.exchange(now, cutSinceMs);
       this.limiters.forEach((limiter, i) => {
-        const told = {...UPSTREAM, statedAtMs: now, perSecond};
+        const told = {
+          ...UPSTREAM,
+          maxRejectionsPerS: null,
+          statedAtMs: now,
+          perSecond,
+        };
         this.limits[i]!.record(`m${i}`, told);
         if (limiter.waitMs(UPSTREAM, now) > 0) return;
         limiter.take(UPSTREAM, now);
--- a/packages/scheduling/src/upstream_rate_limiter.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.ts
@@ -22,6 +22,14 @@
     return this.limits.limitOf(upstream, nowMs);
   }
 
+  /**
+   * Rejections per second beyond which an upstream crashes; null if it names no
+   * such limit.
+   */
+  maxRejectionsPerS(upstream: UpstreamSpec, nowMs: number): number | null {
+    return this.limits.limitOf(upstream, nowMs, 'maxRejectionsPerS');
+  }
+
   /** Requests per millisecond that an upstream accepts; Infinity if unlimited. */
   maxPerMs(upstream: UpstreamSpec, nowMs: number): number {
     const limit = this.limitOf(upstream, nowMs);
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -46,6 +46,8 @@
   serviceTimeMs: number | null = null;
   /** Moving average of the share of failed runs, from 0 to 1. */
   failureRate = 0;
+  /** Time in milliseconds of the last rejection. */
+  lastRejectionMs = -Infinity;
   /** Backoffs since a newer run last responded. */
   private backoffCount = 0;
   /** Broken connections since a newer run last responded. */
@@ -144,6 +146,13 @@
     this.applyOutcome(report.end, nowMs);
   }
 
+  /** Number of runs that have not sent a first byte yet. */
+  get unconfirmedRuns(): number {
+    let count = 0;
+    for (const run of this.runs.values()) if (!run.hasStarted) count++;
+    return count;
+  }
+
   /** Prompt tokens of the runs that have not sent a first byte yet. */
   pendingPromptTokens(): number {
     let tokens = 0;
@@ -192,6 +201,7 @@
         this.backoffUntilMs = nowMs + REPLACED_BACKOFF_MS;
         return;
       case RUN_END.REJECTED:
+        this.lastRejectionMs = nowMs;
         this.externalRuns = Math.max(0, this.spec.slots - this.runs.size);
         this.externalRunsUntilMs = nowMs + FULL_AFTER_REJECTION_MS;
         return;
