Take an upstream that is silent for a second for sound

What callers saw: a stream that its caller took up got 503 while its upstream was silent for a second (KNOWN-RED 4 is of that class): the question when it started timed out after 0.9 s and put the upstream into backoff for all.

Change: the question waits for 1.5 s, and silence is reported as no evidence. Result: silent_engines.test.ts, 503 before, passes.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -102,8 +102,11 @@
 /** Number of keys that streams are spread over to choose these members. */
 export const ORIGIN_KEY_COUNT = 64;
 
-/** Timeout in milliseconds of asking an upstream when it started. */
-export const LIFE_CHECK_TIMEOUT_MS = 900;
+/**
+ * Timeout in milliseconds of asking an upstream when it started: sound ones may be
+ * silent for a second.
+ */
+export const LIFE_CHECK_TIMEOUT_MS = 1_500;
 
 /** Largest response in bytes to that question. */
 export const MAX_LIFE_RESPONSE_BYTES = 262_144;
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -25,6 +25,14 @@
 import {checkLife} from './upstream_life.js';
 import type {BufferedResponse} from './upstream_send.js';
 
+/** End to report for an upstream that is not in the life that is required. */
+const END_BY_LIFE = {
+  replaced: RUN_END.REPLACED,
+  unreachable: RUN_END.UNREACHABLE,
+  // A sound upstream may be silent for a while.
+  silent: RUN_END.CANCELLED,
+} as const;
+
 /**
  * Runs one request: waits for a placement, sends the request to that upstream,
  * and retries where the route permits it.
@@ -155,9 +163,10 @@
       upstream: upstream.instanceId,
       life,
     });
-    const {REPLACED, UNREACHABLE, CANCELLED} = RUN_END;
-    const end = life === 'replaced' ? REPLACED : UNREACHABLE;
-    this.returnGrant(placement, signal.aborted ? CANCELLED : end);
+    this.returnGrant(
+      placement,
+      signal.aborted ? RUN_END.CANCELLED : END_BY_LIFE[life],
+    );
     this.excluded.push(upstream.instanceId);
     return false;
   }
--- a/packages/gateway/src/upstream_life.ts
+++ b/packages/gateway/src/upstream_life.ts
@@ -11,7 +11,7 @@
 const OK = 200;
 
 /** What is known of the life of an upstream that has its registered id. */
-export type LifeCheck = 'same' | 'replaced' | 'unreachable';
+export type LifeCheck = 'same' | 'replaced' | 'silent' | 'unreachable';
 
 /**
  * Whether an upstream that says when it started is in its registered life. One
@@ -46,7 +46,7 @@
     responseTimeoutMs: LIFE_CHECK_TIMEOUT_MS,
     signal,
   });
-  if (opened.isErr()) return 'unreachable';
+  if (opened.isErr()) return opened.error.isTimeout ? 'silent' : 'unreachable';
   const {res} = opened.value;
   try {
     const body = await readBody(res, MAX_LIFE_RESPONSE_BYTES);
