Ask neighbours while a direct connection is slow

Cause: a connection to an upstream that was down or dark took 105 to 500 ms more than before, as three neighbours were asked one after the other once the direct one had failed, and the end of a broken request was held back for that.

Change: neighbours are asked after 100 ms beside the direct connection, the next one at once if one fails, and two that can't reach it settle it. A connection to any upstream in the last 300 ms shows that this gateway is not cut off, so that an end is reported without asking.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -183,16 +183,31 @@
 export const UPSTREAM_CONNECT_TIMEOUT_MS = 250;
 
 /**
- * Timeout in milliseconds for a connection to an upstream on any path: the direct
- * one and then a neighbour's.
+ * Timeout in milliseconds for a connection to an upstream on any path: up to three
+ * neighbours are asked, and the direct path is tried before or after that.
  */
 export const ANY_PATH_TIMEOUT_MS = 700;
 
 /** Timeout in milliseconds of asking neighbours for a tunnel. */
-export const TUNNEL_TIMEOUT_MS = 280;
+export const TUNNEL_TIMEOUT_MS = 220;
 
 /** Timeout in milliseconds for connecting to an upstream for a neighbour. */
-export const TUNNELLED_CONNECT_TIMEOUT_MS = 200;
+export const TUNNELLED_CONNECT_TIMEOUT_MS = 150;
+
+/**
+ * Time in milliseconds without a connection after which neighbours are asked for
+ * a tunnel too; most connections take a few.
+ */
+export const SLOW_CONNECT_MS = 100;
+
+/**
+ * Time in milliseconds for which a new connection shows that this gateway is not
+ * cut off.
+ */
+export const SOUND_PATH_MS = 300;
+
+/** Number of neighbours that can't reach an upstream either and settle it. */
+export const ENOUGH_UNREACHABLE = 2;
 
 /** Time in milliseconds after which the next neighbour is asked too. */
 export const TUNNEL_HEDGE_MS = 50;
--- a/packages/gateway/src/path_state.ts
+++ b/packages/gateway/src/path_state.ts
@@ -27,6 +27,11 @@
     return count >= MIN_LOST_UPSTREAMS;
   }
 
+  /** Whether a new connection of its own has succeeded since a time. */
+  hasConnectedSince(sinceMs: number): boolean {
+    return this.lastDirectMs >= sinceMs;
+  }
+
   /** Whether to connect to an upstream through a neighbour first. */
   isLost(address: string): boolean {
     return this.lost.has(address) || this.isCutOff;
--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -13,12 +13,15 @@
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {splitAddress} from './address.js';
 import {
+  ENOUGH_UNREACHABLE,
   MAX_AVOIDED_NEIGHBOURS,
   MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
   MAX_LOST_PATH_PROBES,
   MAX_TUNNELS,
   NEIGHBOUR_AVOIDED_MS,
   PATH_PROBE_INTERVAL_MS,
+  SLOW_CONNECT_MS,
+  SOUND_PATH_MS,
   TUNNEL_HEDGE_MS,
   TUNNEL_TIMEOUT_MS,
   TUNNELLED_CONNECT_TIMEOUT_MS,
@@ -44,10 +47,15 @@
   readonly isStopping: () => boolean;
 }
 
-/** How a connection to an upstream was established. */
+/** A connection to an upstream. */
+interface OpenConnection {
+  readonly kind: 'direct' | 'tunnelled';
+  readonly socket: Socket;
+}
+
+/** Result of connecting to an upstream on any path. */
 type Connection =
-  | {readonly kind: 'direct' | 'tunnelled'; readonly socket: Socket}
-  | {readonly kind: 'failed'; readonly error: PathError};
+  OpenConnection | {readonly kind: 'failed'; readonly error: PathError};
 
 /**
  * Connects to upstreams: directly, or through the tunnel of a neighbour where
@@ -128,21 +136,17 @@
 
   /**
    * Finds out whether this gateway's own path to an upstream is lost, after a
-   * request on it has failed.
+   * request on it has failed. A recent connection to any upstream shows that this
+   * gateway is not cut off.
    */
   async isPathLost(address: string): Promise<boolean> {
     if (this.state.isLost(address)) return true;
-    const direct = this.tryDirect(
-      splitAddress(address),
-      UPSTREAM_CONNECT_TIMEOUT_MS,
-    );
-    const first = await Promise.race([direct, sleep(TUNNEL_HEDGE_MS)]);
-    const tunnel = isSocket(first) ? null : await this.tryTunnels(address);
-    const socket = await direct;
-    if (isSocket(socket)) socket.destroy();
-    else if (tunnel?.kind === 'open') this.recordLost(address);
-    if (tunnel?.kind === 'open') tunnel.socket.destroy();
-    return this.state.isLost(address);
+    const nowMs = this.options.clock.monotonicMs();
+    if (this.state.hasConnectedSince(nowMs - SOUND_PATH_MS)) return false;
+    const connection = await this.connect(splitAddress(address));
+    if (connection.kind === 'failed') return false;
+    connection.socket.destroy();
+    return connection.kind === 'tunnelled';
   }
 
   /** Forgets what is known of upstreams that are not registered any more. */
@@ -158,18 +162,46 @@
     this.tunnels.close();
   }
 
-  private async connect(args: TcpNetConnectOpts): Promise<Connection> {
+  private connect(args: TcpNetConnectOpts): Promise<Connection> {
     const address = `${args.host}:${args.port}`;
-    if (!this.state.isLost(address)) {
-      const socket = await this.tryDirect(args, UPSTREAM_CONNECT_TIMEOUT_MS);
-      if (isSocket(socket)) return {kind: 'direct', socket};
-      const tunnel = await this.tryTunnels(address);
-      if (tunnel?.kind === 'open') {
-        this.recordLost(address);
-        return {kind: 'tunnelled', socket: tunnel.socket};
-      }
-      return {kind: 'failed', error: new PathError(socket.message, false)};
+    return this.state.isLost(address)
+      ? this.connectThroughNeighbour(args, address)
+      : this.connectDirectly(args, address);
+  }
+
+  /** Asks neighbours as well if the direct connection is slow or fails. */
+  private async connectDirectly(
+    args: TcpNetConnectOpts,
+    address: string,
+  ): Promise<Connection> {
+    const direct = this.tryDirect(args, UPSTREAM_CONNECT_TIMEOUT_MS);
+    const early = await Promise.race([direct, sleep(SLOW_CONNECT_MS)]);
+    if (isSocket(early)) return {kind: 'direct', socket: early};
+    const openings = [
+      direct.then((result): OpenConnection => {
+        if (!isSocket(result)) throw result;
+        return {kind: 'direct', socket: result};
+      }),
+      this.tryTunnels(address).then((result): OpenConnection => {
+        if (result?.kind !== 'open') throw new Error('no tunnel was opened');
+        return {kind: 'tunnelled', socket: result.socket};
+      }),
+    ];
+    const first = await firstOf(openings, ({socket}) => socket.destroy());
+    if (first?.kind === 'tunnelled') {
+      void direct.then(result => {
+        if (!isSocket(result)) this.recordLost(address);
+      });
     }
+    if (first) return first;
+    const {message} = (await direct) as Error;
+    return {kind: 'failed', error: new PathError(message, false)};
+  }
+
+  private async connectThroughNeighbour(
+    args: TcpNetConnectOpts,
+    address: string,
+  ): Promise<Connection> {
     const tunnel = await this.tryTunnels(address);
     if (tunnel?.kind === 'open') {
       return {kind: 'tunnelled', socket: tunnel.socket};
@@ -219,21 +251,24 @@
     );
     const {zone} = members.localMember;
     const neighbours = chooseNeighbours(available, zone, random);
-    let winner: TunnelResult | null = null;
-    let other: TunnelResult | null = null;
-    const attempts = neighbours.map(async (neighbour, i) => {
-      await sleep(i * TUNNEL_HEDGE_MS);
-      if (winner) return;
-      const result = await this.askForTunnel(neighbour, address);
-      if (result.kind !== 'open') {
-        if (other?.kind !== 'unreachable') other = result;
-        throw new Error(result.kind);
-      }
-      if (winner) result.socket.destroy();
-      winner ??= result;
-    });
-    await Promise.any(attempts).catch(() => undefined);
-    return winner ?? other;
+    const attempts: Promise<TunnelResult>[] = [];
+    let open: TunnelResult | null = null;
+    let unreachable = 0;
+    for (const neighbour of neighbours) {
+      const attempt = this.askForTunnel(neighbour, address);
+      attempts.push(attempt);
+      const result = await Promise.race([attempt, sleep(TUNNEL_HEDGE_MS)]);
+      if (result?.kind === 'open') open = result;
+      if (result?.kind === 'unreachable') unreachable++;
+      if (open || unreachable === ENOUGH_UNREACHABLE) break;
+    }
+    const best = open ?? (await bestOf(attempts));
+    for (const attempt of attempts) {
+      void attempt.then(result => {
+        if (result.kind === 'open' && result !== best) result.socket.destroy();
+      });
+    }
+    return best;
   }
 
   private mayHelp(member: GatewayMember): boolean {
@@ -297,6 +332,45 @@
   }
 }
 
+/**
+ * The first tunnel that is opened, else whether the target can't be reached; null
+ * without any attempt.
+ */
+function bestOf(
+  attempts: readonly Promise<TunnelResult>[],
+): Promise<TunnelResult | null> {
+  return new Promise(resolve => {
+    for (const attempt of attempts) {
+      void attempt.then(result => {
+        if (result.kind === 'open') resolve(result);
+      });
+    }
+    void Promise.all(attempts).then(results =>
+      resolve(
+        results.find(({kind}) => kind === 'unreachable') ?? results[0] ?? null,
+      ),
+    );
+  });
+}
+
+/**
+ * The first value that a promise brings; null if all fail. Values that come later
+ * are closed.
+ */
+async function firstOf<T>(
+  promises: readonly Promise<T>[],
+  close: (value: T) => void,
+): Promise<T | null> {
+  const first = await Promise.any(promises).catch(() => null);
+  for (const promise of promises) {
+    promise.then(
+      value => void (value === first ? undefined : close(value)),
+      () => undefined,
+    );
+  }
+  return first;
+}
+
 function isSocket(value: Socket | Error | void): value is Socket {
   return value !== undefined && !(value instanceof Error);
 }
