--- a/packages/transport/src/tunnel_client.ts
+++ b/packages/transport/src/tunnel_client.ts
@@ -33,6 +33,8 @@
     req.once('connect', (res, stream, head) => {
       clearTimeout(timer);
       const socket = stream as Socket;
+      // It may fail before it has a request.
+      socket.on('error', () => undefined);
       const {statusCode} = res;
       if (statusCode === TUNNEL_STATUS.OPEN) {
         if (head.length > 0) socket.unshift(head);
