Write the daemon's version in force again to a restored store

What operators saw: after a restore the store lacks the version that is in force, so that patches to it are refused as conflicts, and one to the copy's version is accepted under a number in use, which no daemon applies.

Change: relays that learn of a restore write the sections and the head of the version in force again, by compare-and-swap, unless the store has that version or a later one.

--- a/packages/daemon/src/config_sync.test.ts
+++ b/packages/daemon/src/config_sync.test.ts
@@ -116,6 +116,21 @@
     await waitUntilInForce(base + 1);
   });
 
+  it('takes patches to the version in force after the platform was restored', async () => {
+    await fleet.setFaults('platform', {keepCopy: true});
+    const copied = await currentVersion();
+    expect((await submit('entry-1', copied)).status).toBe(200);
+    await waitUntilInForce(copied + 1);
+    await fleet.setFaults('platform', {restoreCopy: true});
+    await waitUntil('the store has the version in force again', async () => {
+      const response = await submit('entry-2', copied + 1);
+      return response.status === 200;
+    });
+    await waitUntilInForce(copied + 2);
+    // A patch to the copy's version must not be accepted beside it.
+    expect((await submit('entry-1', copied)).status).toBe(409);
+  });
+
   it('reaches a partitioned zone from peers once their links are restored', async () => {
     const base = await currentVersion();
     for (const id of ['entry-1', 'entry-2', 'entry-4']) {
--- a/packages/daemon/src/config_sync.ts
+++ b/packages/daemon/src/config_sync.ts
@@ -13,7 +13,11 @@
   ReadVmList,
   VmListing,
 } from '@fescuespool/state';
-import {CONFIG_HEAD_KEY, parseHead} from '@fescuespool/state';
+import {
+  CONFIG_HEAD_KEY,
+  parseHead,
+  writeVersionAgain,
+} from '@fescuespool/state';
 import {callPeer} from '@fescuespool/transport';
 import {z} from 'zod';
 import {
@@ -47,7 +51,9 @@
     private readonly store: PlatformStore,
     private readonly readVmList: ReadVmList,
     private readonly onVmList: (listing: VmListing) => void,
-  ) {}
+  ) {
+    store.epoch.onChange(() => void this.writeVersionAgain());
+  }
 
   /** Current configuration version and VM list revision of this process. */
   get versions(): StateVersions {
@@ -158,6 +164,23 @@
     return active.sections[name] ?? null;
   }
 
+  /** Lets a restored store have the version in force again, as a relay. */
+  private async writeVersionAgain(): Promise<void> {
+    const {config, log} = this.context;
+    const epoch = this.store.epoch.current;
+    while (config.current && this.isRelay) {
+      const {version} = config;
+      const written = await writeVersionAgain(this.store, config.current);
+      if (written.isOk()) {
+        log.info('config_written_again', {version, isWritten: written.value});
+        return;
+      }
+      log.warn('config_not_written_again', {err: written.error.message});
+      await sleep(jitterMs(PLATFORM_BACKOFF_MS));
+      if (this.store.epoch.current !== epoch) return;
+    }
+  }
+
   private readonly readFromStore: ReadSection = async (_name, key) => {
     const found = await this.store.get(key);
     if (found.isErr() || !found.value) return null;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -1,6 +1,7 @@
 export * from './active_config.js';
 export * from './claim_store.js';
 export * from './config_patch.js';
+export * from './config_restore.js';
 export * from './config_schema.js';
 export * from './config_sections.js';
 export * from './config_store.js';
