--- a/packages/bench/src/link_proxy.ts
+++ b/packages/bench/src/link_proxy.ts
@@ -44,9 +44,15 @@
     );
   }
 
-  /** Starts to listen. Returns the port; for port 0 the system chooses one. */
+  /**
+   * Starts to listen; rejects if the address is in use. Returns the port; for
+   * port 0 the system chooses one.
+   */
   async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>(resolve => this.server.listen(port, host, resolve));
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
     return (this.server.address() as net.AddressInfo).port;
   }
 
