Ask neighbours that did not help if there are no others

What callers saw: at a gateway without a path whose VM or neighbours stall, requests were refused at once (not_accepted) for a second after each tunnel that timed out, since all neighbours were left out then.

Cause: a neighbour that did not answer in time counts as one that can't help. Change: such neighbours are asked if there are no others.

--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -68,7 +68,7 @@
   private readonly state = new PathState();
   private readonly pooledAgent: Agent;
   private readonly singleUseAgent: Agent;
-  /** Neighbours that could not help recently. */
+  /** Neighbours that could not help recently, which are asked last. */
   private readonly avoided: LRUCache<string, true>;
   private readonly timer: NodeJS.Timeout;
   private wasCutOff = false;
@@ -246,11 +246,15 @@
    */
   private async tryTunnels(address: string): Promise<TunnelResult | null> {
     const {members, random} = this.options;
-    const available = members.otherMembers.filter(member =>
-      this.mayHelp(member),
-    );
+    const all = members.otherMembers.filter(member => this.mayHelp(member));
+    const available = all.filter(({id}) => !this.avoided.has(id));
     const {zone} = members.localMember;
-    const neighbours = chooseNeighbours(available, zone, random);
+    // Those that did not help a moment ago are better than none.
+    const neighbours = chooseNeighbours(
+      available.length > 0 ? available : all,
+      zone,
+      random,
+    );
     const attempts: Promise<TunnelResult>[] = [];
     let open: TunnelResult | null = null;
     let unreachable = 0;
@@ -276,8 +280,7 @@
     return (
       member.tunnelAddress !== null &&
       !member.isLeaving &&
-      !members.isSuspected(member.id) &&
-      !this.avoided.has(member.id)
+      !members.isSuspected(member.id)
     );
   }
 
