Ask neighbours for tunnels in a file of its own

upstream_paths.ts both chose paths and asked neighbours. Code is moved, nothing else; the path that is chosen and the order of the neighbours stay as they were.

--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -1,38 +1,30 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
-import type {ConnectSocket, TunnelResult} from '@fescuespool/transport';
+import type {ConnectSocket} from '@fescuespool/transport';
 import {
-  openTunnel,
   SingleUseAgent,
   TUNNEL_STATUS,
   TunnelServer,
   UpstreamAgent,
 } from '@fescuespool/transport';
-import {LRUCache} from 'lru-cache';
 import type {Agent} from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {splitAddress} from './address.js';
 import {
-  ENOUGH_UNREACHABLE,
-  MAX_AVOIDED_NEIGHBOURS,
   MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
   MAX_LOST_PATH_PROBES,
   MAX_TUNNELS,
-  NEIGHBOUR_AVOIDED_MS,
   PATH_PROBE_INTERVAL_MS,
   SLOW_CONNECT_MS,
   SOUND_PATH_MS,
-  TUNNEL_HEDGE_MS,
-  TUNNEL_TIMEOUT_MS,
   TUNNELLED_CONNECT_TIMEOUT_MS,
   UPSTREAM_CONNECT_TIMEOUT_MS,
   UPSTREAM_IDLE_TIMEOUT_MS,
 } from './constants.js';
 import {PathError} from './errors.js';
 import type {MemberDirectory} from './member_directory.js';
-import {chooseNeighbours} from './neighbour_choice.js';
+import {NeighbourTunnels} from './neighbour_tunnels.js';
 import {PathState} from './path_state.js';
-import type {GatewayMember} from './types.js';
 
 /** Dependencies of `UpstreamPaths`. */
 export interface UpstreamPathsOptions {
@@ -68,8 +60,7 @@
   private readonly state = new PathState();
   private readonly pooledAgent: Agent;
   private readonly singleUseAgent: Agent;
-  /** Neighbours that could not help recently, which are asked last. */
-  private readonly avoided: LRUCache<string, true>;
+  private readonly neighbours: NeighbourTunnels;
   private readonly timer: NodeJS.Timeout;
   private wasCutOff = false;
 
@@ -85,10 +76,8 @@
       open,
     );
     this.singleUseAgent = new SingleUseAgent(open);
-    this.avoided = new LRUCache({
-      max: MAX_AVOIDED_NEIGHBOURS,
-      ttl: NEIGHBOUR_AVOIDED_MS,
-    });
+    const {members, log, random} = options;
+    this.neighbours = new NeighbourTunnels(members, log, random);
     this.tunnels = new TunnelServer({
       refusalFor: address => {
         if (!options.addresses().has(address)) return TUNNEL_STATUS.FORBIDDEN;
@@ -182,7 +171,7 @@
         if (!isSocket(result)) throw result;
         return {kind: 'direct', socket: result};
       }),
-      this.tryTunnels(address).then((result): OpenConnection => {
+      this.neighbours.open(address).then((result): OpenConnection => {
         if (result?.kind !== 'open') throw new Error('no tunnel was opened');
         return {kind: 'tunnelled', socket: result.socket};
       }),
@@ -202,7 +191,7 @@
     args: TcpNetConnectOpts,
     address: string,
   ): Promise<Connection> {
-    const tunnel = await this.tryTunnels(address);
+    const tunnel = await this.neighbours.open(address);
     if (tunnel?.kind === 'open') {
       return {kind: 'tunnelled', socket: tunnel.socket};
     }
@@ -240,64 +229,6 @@
     });
   }
 
-  /**
-   * Asks several neighbours, each a little later than the one before; returns the
-   * first tunnel, else the best answer, or null if there is nobody to ask.
-   */
-  private async tryTunnels(address: string): Promise<TunnelResult | null> {
-    const {members, random} = this.options;
-    const all = members.otherMembers.filter(member => this.mayHelp(member));
-    const available = all.filter(({id}) => !this.avoided.has(id));
-    const {zone} = members.localMember;
-    // Those that did not help a moment ago are better than none.
-    const neighbours = chooseNeighbours(
-      available.length > 0 ? available : all,
-      zone,
-      random,
-    );
-    const attempts: Promise<TunnelResult>[] = [];
-    let open: TunnelResult | null = null;
-    let unreachable = 0;
-    for (const neighbour of neighbours) {
-      const attempt = this.askForTunnel(neighbour, address);
-      attempts.push(attempt);
-      const result = await Promise.race([attempt, sleep(TUNNEL_HEDGE_MS)]);
-      if (result?.kind === 'open') open = result;
-      if (result?.kind === 'unreachable') unreachable++;
-      if (open || unreachable === ENOUGH_UNREACHABLE) break;
-    }
-    const best = open ?? (await bestOf(attempts));
-    for (const attempt of attempts) {
-      void attempt.then(result => {
-        if (result.kind === 'open' && result !== best) result.socket.destroy();
-      });
-    }
-    return best;
-  }
-
-  private mayHelp(member: GatewayMember): boolean {
-    const {members} = this.options;
-    return (
-      member.tunnelAddress !== null &&
-      !member.isLeaving &&
-      !members.isSuspected(member.id)
-    );
-  }
-
-  private async askForTunnel(
-    {id, tunnelAddress}: GatewayMember,
-    address: string,
-  ): Promise<TunnelResult> {
-    const peer = splitAddress(tunnelAddress ?? '');
-    const result = await openTunnel(peer, address, TUNNEL_TIMEOUT_MS);
-    if (result.kind === 'unavailable') {
-      this.avoided.set(id, true);
-      const {cause} = result;
-      this.options.log.info('tunnel_not_opened', {via: id, address, cause});
-    }
-    return result;
-  }
-
   private recordLost(address: string): void {
     const {clock, log} = this.options;
     if (!this.state.isLost(address)) log.warn('upstream_path_lost', {address});
@@ -335,27 +266,6 @@
   }
 }
 
-/**
- * The first tunnel that is opened, else whether the target can't be reached; null
- * without any attempt.
- */
-function bestOf(
-  attempts: readonly Promise<TunnelResult>[],
-): Promise<TunnelResult | null> {
-  return new Promise(resolve => {
-    for (const attempt of attempts) {
-      void attempt.then(result => {
-        if (result.kind === 'open') resolve(result);
-      });
-    }
-    void Promise.all(attempts).then(results =>
-      resolve(
-        results.find(({kind}) => kind === 'unreachable') ?? results[0] ?? null,
-      ),
-    );
-  });
-}
-
 /**
  * The first value that a promise brings; null if all fail. Values that come later
  * are closed.
