Begin with no configuration that another member has replaced

Cause: a gateway that starts after a restore, and learns from the others that the copy's version is not the newest, did not confirm that version but used it for public routes. Change: the first configuration is not older than what another member has in force; it is logged as config_outdated. Result: config_state.test.ts failed on (version 2 was in force beside a 3 elsewhere), passes.

--- a/packages/gateway/src/config_state.ts
+++ b/packages/gateway/src/config_state.ts
@@ -48,10 +48,20 @@
     return this.bootClock() - this.confirmedAtMs;
   }
 
-  /** Activates a configuration unless its version is not newer. */
+  /**
+   * Activates a configuration unless its version is not newer. The first one is
+   * not older than what another member has in force either: to have none is
+   * better than to go by one that was replaced.
+   */
   apply(cfg: GatewayConfig): void {
     const activeVersion = this.active?.cfg.version ?? -1;
     if (cfg.version <= activeVersion) return;
+    if (!this.active && cfg.version < this.newestElsewhere) {
+      const {version} = cfg;
+      const newest = this.newestElsewhere;
+      this.log.warn('config_outdated', {version, newest});
+      return;
+    }
     this.active = {cfg, table: new RouteTable(cfg.routes)};
     this.log.info('config_applied', {
       version: cfg.version,
