Keep no idle connections through a neighbour's tunnel

Cause: a connection that took a tunnel before the own path was known to be lost went into the pool of idle connections, so that the neighbour, when it stopped, waited for it until its limit. Change: such connections end with their request.

--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -61,6 +61,7 @@
   private readonly pooledAgent: Agent;
   private readonly singleUseAgent: Agent;
   private readonly neighbours: NeighbourTunnels;
+  private readonly tunnelledSockets = new WeakSet<Socket>();
   private readonly timer: NodeJS.Timeout;
   private wasCutOff = false;
 
@@ -68,12 +69,16 @@
     const open = async (args: TcpNetConnectOpts): Promise<Socket> => {
       const connection = await this.connect(args);
       if (connection.kind === 'failed') throw connection.error;
-      return connection.socket;
+      const {kind, socket} = connection;
+      if (kind === 'tunnelled') this.tunnelledSockets.add(socket);
+      return socket;
     };
     this.pooledAgent = new UpstreamAgent(
       UPSTREAM_IDLE_TIMEOUT_MS,
       MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
       open,
+      // A neighbour that stops waits for the tunnels that are open.
+      socket => !this.tunnelledSockets.has(socket),
     );
     this.singleUseAgent = new SingleUseAgent(open);
     const {members, log, random} = options;
--- a/packages/transport/src/upstream_agent.ts
+++ b/packages/transport/src/upstream_agent.ts
@@ -44,16 +44,21 @@
 export class UpstreamAgent extends OpeningAgent {
   /**
    * Keeps up to `maxIdle` idle connections to each upstream, for up to `idleMs`
-   * milliseconds.
+   * milliseconds, of those that `mayKeep` permits.
    */
-  constructor(idleMs: number, maxIdle: number, open: OpenSocket) {
+  constructor(
+    idleMs: number,
+    maxIdle: number,
+    open: OpenSocket,
+    private readonly mayKeep: (socket: Socket) => boolean = () => true,
+  ) {
     super({keepAlive: true, maxFreeSockets: maxIdle, timeout: idleMs}, open);
   }
 
   override keepSocketAlive(socket: Socket): boolean {
     // The type of this Node.js method omits the boolean that it returns.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (!isKept) return false;
+    if (!isKept || !this.mayKeep(socket)) return false;
     if (socket.readableLength > 0) return false;
     socket.on('data', closeConnection);
     return true;
