Keep a copy of each claim at another member

Cause: after a restore of the store each holder writes its recent claims again. A holder that had ended did not, so that a caller that came back with its key had its request run twice. Change: a claim goes to another member, of another zone if there is one, before its request is dispatched; that member writes it again as well. Its answer names the store's epoch, so that a restore in between is noticed and nothing runs. Result: claim_copies.test.ts, holder killed, store restored: the second call ran (200) with the copy switched off, gets 409 now, one execution.

--- a/packages/daemon/src/claim_gate.ts
+++ b/packages/daemon/src/claim_gate.ts
@@ -8,9 +8,10 @@
   ClaimStore,
   StoredClaim,
 } from '@fescuespool/state';
-import {CLAIM_OUTCOME} from '@fescuespool/state';
+import {CLAIM_OUTCOME, claimKey} from '@fescuespool/state';
 import {callPeer} from '@fescuespool/transport';
 import {z} from 'zod';
+import {ClaimCopies} from './claim_copies.js';
 import {
   CLAIM_POLL_INTERVAL_MS,
   MAX_CLAIM_AGE_MS,
@@ -66,11 +67,15 @@
  */
 export class ClaimGate {
   readonly localClaims = new LocalClaims();
+  /** Copies of recent claims at other members. */
+  readonly copies: ClaimCopies;
 
   constructor(
     private readonly context: DaemonContext,
     private readonly claims: ClaimStore,
-  ) {}
+  ) {
+    this.copies = new ClaimCopies(context, claims);
+  }
 
   /**
    * Creates the claim of a request, or finds the response to an earlier request
@@ -96,14 +101,7 @@
       }
       if (attempt.outcome === CLAIM_OUTCOME.ACQUIRED) {
         const {claim} = attempt;
-        const acquireMs = clock.monotonicMs() - startedAtMs;
-        if (acquireMs > MAX_CLAIM_AGE_MS || signal.aborted) {
-          // The process was paused meanwhile, so its view of the claim is
-          // stale.
-          this.releaseClaim(request, claim);
-          throw claimUnavailableRefusal('the confirmation took too long');
-        }
-        this.localClaims.setState(claim.nonce, CLAIM_STATE.RUNNING);
+        await this.confirmClaim(request, claim, startedAtMs, signal);
         return {mayRun: true, claim};
       }
       const {held} = attempt;
@@ -123,6 +121,30 @@
     );
   }
 
+  /**
+   * Shares a new claim with another member; releases it and throws if its request
+   * must not run.
+   */
+  private async confirmClaim(
+    request: ClaimedRequest,
+    claim: Claim,
+    startedAtMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    this.localClaims.setState(claim.nonce, CLAIM_STATE.RUNNING);
+    await this.copies.share({key: claimKey(request), claim});
+    const acquireMs = this.context.clock.monotonicMs() - startedAtMs;
+    let problem: string | null = null;
+    if (!this.claims.isComplete) problem = 'the store was restored meanwhile';
+    // The process was paused meanwhile, so its view of the claim is stale.
+    if (acquireMs > MAX_CLAIM_AGE_MS || signal.aborted) {
+      problem = 'the confirmation took too long';
+    }
+    if (problem === null) return;
+    this.releaseClaim(request, claim);
+    throw claimUnavailableRefusal(problem);
+  }
+
   /** Marks a claim as finished and caches the response for duplicates. */
   finishClaim(claim: Claim, response: CachedResponse | null): void {
     this.localClaims.finish(claim.nonce, response);
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -64,6 +64,10 @@
 /** Largest complete response in bytes that an entry buffers. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 16_777_216;
 
+/** Time in milliseconds for another member to take the copy of a claim. */
+export const CLAIM_COPY_TIMEOUT_MS = 250;
+/** Number of members that are asked to keep the copy of a claim. */
+export const MAX_CLAIM_COPY_ATTEMPTS = 3;
 /** Age in milliseconds above which a new claim is released unused. */
 export const MAX_CLAIM_AGE_MS = 10_000;
 /** Time in milliseconds that a response is cached for repeated requests. */
--- a/packages/daemon/src/peer_handlers.ts
+++ b/packages/daemon/src/peer_handlers.ts
@@ -1,5 +1,6 @@
 import type {Member} from '@fescuespool/coordination';
 import {
+  CLAIM_COPY_SCHEMA,
   CLAIM_REF_SCHEMA,
   CONFIG_ANNOUNCE_SCHEMA,
   CONFIG_SECTION_REQUEST_SCHEMA,
@@ -105,6 +106,9 @@
       state: claimGate.localClaims.stateOf(ref.nonce),
       answer: claimGate.localClaims.responseOf(ref.nonce),
     })),
+    [PEER_METHOD.CLAIM_COPY]: withValidatedParams(CLAIM_COPY_SCHEMA, copy =>
+      claimGate.copies.keep(copy),
+    ),
     [PEER_METHOD.POISON_ANNOUNCE]: withValidatedParams(
       POISON_ANNOUNCE_SCHEMA,
       ({counts, causes}) => {
--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -15,6 +15,7 @@
   CONFIG_ANNOUNCE: 'config.announce',
   VM_LIST: 'vms.list',
   CLAIM_STATUS: 'claim.status',
+  CLAIM_COPY: 'claim.copy',
   POISON_ANNOUNCE: 'poison.announce',
   STATUS_CELLS: 'status.cells',
   TRACE: 'status.trace',
--- a/packages/protocol/src/peer_messages.ts
+++ b/packages/protocol/src/peer_messages.ts
@@ -12,6 +12,7 @@
 
 const MAX_LIST_LENGTH = 4_096;
 const SHORT_TEXT = z.string().max(256);
+const STORE_KEY = z.string().max(512);
 const COUNT = z.number().int().min(0);
 
 const MEMBER = z.object({
@@ -182,6 +183,23 @@
 /** Schema of a request for the state of a claim. */
 export const CLAIM_REF_SCHEMA = z.object({nonce: SHORT_TEXT});
 
+/** Schema of a claim, by its key in the store, that another member copies. */
+export const CLAIM_COPY_SCHEMA = z.object({
+  key: STORE_KEY,
+  claim: z.object({
+    nonce: SHORT_TEXT,
+    holder: z.object({memberId: SHORT_TEXT, incarnation: COUNT}),
+    requestId: SHORT_TEXT,
+    fingerprint: SHORT_TEXT,
+  }),
+});
+
+/** Schema of the answer, with the store's epoch as the other member knows it. */
+export const CLAIM_COPY_ANSWER_SCHEMA = z.object({storeEpoch: COUNT});
+
+/** A claim that another member keeps a copy of. */
+export type ClaimCopy = z.infer<typeof CLAIM_COPY_SCHEMA>;
+
 /**
  * Schema of upstream deaths counted by request fingerprint, and of prompt parts
  * that crash upstreams.
--- a/packages/state/src/claim_store.ts
+++ b/packages/state/src/claim_store.ts
@@ -15,6 +15,7 @@
   STORE_ERROR_KIND,
 } from './constants.js';
 import {StoreError} from './errors.js';
+import type {StoreEpoch} from './store_epoch.js';
 import type {Claim, ClaimHolder, PlatformStore, StoreEntry} from './types.js';
 
 /** The request that a claim covers. */
@@ -46,7 +47,8 @@
       readonly possiblyWritten: Claim | null;
     };
 
-function claimKey(accountId: string, idempotencyKey: string): string {
+/** Key of a request's claim in the store. */
+export function claimKey({accountId, idempotencyKey}: ClaimedRequest): string {
   return `${CLAIM_PREFIX}${accountId}/${sha256Hex(idempotencyKey)}`;
 }
 
@@ -58,12 +60,13 @@
  * Creates claims in the platform's store. A claim is written once, before the
  * request is dispatched, and the store keeps it until its retention lease
  * expires. If the store is restored from a copy, each holder writes its recent
- * claims again, and no claim is created until all have had time to.
+ * claims again, and those that it keeps for others; no claim is created until all
+ * have had time to.
  */
 export class ClaimStore {
   private lease: {readonly id: string; readonly grantedAtMs: number} | null =
     null;
-  /** Claims that were created recently, by store key. */
+  /** Claims that were created recently, here or elsewhere, by store key. */
   private readonly recent = new LRUCache<string, Claim>({
     max: MAX_RECENT_CLAIMS,
     ttl: RECENT_CLAIM_MS,
@@ -92,15 +95,26 @@
     if (result.outcome !== CLAIM_OUTCOME.ACQUIRED) return result;
     // The response may be the first that shows the restore.
     if (!this.isComplete) return unavailable(incompleteError(), result.claim);
-    const key = claimKey(request.accountId, request.idempotencyKey);
+    const key = claimKey(request);
     this.recent.set(key, result.claim);
     return result;
   }
 
-  private get isComplete(): boolean {
+  /** Whether all holders have had time to write their claims again. */
+  get isComplete(): boolean {
     return this.clock.monotonicMs() >= this.completeFromMs;
   }
 
+  /** Epoch of the store, as far as known. */
+  get epoch(): StoreEpoch {
+    return this.store.epoch;
+  }
+
+  /** Keeps a copy of a claim that another member has created. */
+  keepCopy(key: string, claim: Claim): void {
+    this.recent.set(key, claim);
+  }
+
   private async create(
     request: ClaimedRequest,
     released: StoredClaim | null,
@@ -113,7 +127,7 @@
       requestId: request.requestId,
       fingerprint: request.fingerprint,
     };
-    const key = claimKey(request.accountId, request.idempotencyKey);
+    const key = claimKey(request);
     const written = await this.store.compareAndSwap({
       key,
       expectedRevision: released?.revision ?? 0,
@@ -143,7 +157,7 @@
    * the store may still hold the claim.
    */
   async release(request: ClaimedRequest, claim: Claim): Promise<boolean> {
-    const key = claimKey(request.accountId, request.idempotencyKey);
+    const key = claimKey(request);
     if (this.recent.get(key)?.nonce === claim.nonce) this.recent.delete(key);
     const found = await this.store.get(key);
     if (found.isErr()) return false;
