--- a/packages/daemon/src/claim_copies.ts
+++ b/packages/daemon/src/claim_copies.ts
@@ -47,19 +47,16 @@
 
   private candidatesFor(key: string): string[] {
     const {membership, settings} = this.context;
-    const ids = membership.eligibleIds().filter(id => id !== settings.memberId);
+    const others = membership
+      .eligibleIds()
+      .filter(id => id !== settings.memberId);
+    const ranked = rankMembers(others, key);
     const sameZone = new Set(membership.eligibleIds(settings.zone));
     // A zone may be lost at once.
-    const ranked = [
-      ...rankMembers(
-        ids.filter(id => !sameZone.has(id)),
-        key,
-      ),
-      ...rankMembers(
-        ids.filter(id => sameZone.has(id)),
-        key,
-      ),
+    const elsewhereFirst = [
+      ...ranked.filter(id => !sameZone.has(id)),
+      ...ranked.filter(id => sameZone.has(id)),
     ];
-    return ranked.slice(0, MAX_CLAIM_COPY_ATTEMPTS);
+    return elsewhereFirst.slice(0, MAX_CLAIM_COPY_ATTEMPTS);
   }
 }
