Log on what the place of a resumed stream rests

Cause: the logs told who was asked where a stream began, but not whether its place was known or inferred from the versions seen, nor how old the view behind that was, so that the hypotheses on streams that were joined from two versions could not be told apart.

Change: one line stream_place_decided for each stream that a caller takes up, with its basis and the age of the configuration's last confirmation.

--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -18,7 +18,9 @@
 } from './open_request.js';
 import {pickTarget} from './route_table.js';
 import type {SendOutcome} from './send_outcome.js';
+import type {StreamOrigin} from './stream_origin.js';
 import type {StreamProgress} from './stream_relay.js';
+import type {ResumePlace} from './stream_resumption.js';
 import {placeToResume} from './stream_resumption.js';
 import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
@@ -135,6 +137,14 @@
       upstreams.versions,
       clock.monotonicMs(),
     );
+    this.gateway.log.info('stream_place_decided', {
+      id: head.requestId,
+      resumes: resumedRequestId ?? undefined,
+      basis: toResumeBasis(known, place),
+      service: place?.service,
+      version: place?.softwareVersion,
+      viewAgeMs: Math.round(this.gateway.configState.ageMs),
+    });
     if (!place) throw this.createNotResumableRefusal();
     this.service = place.service;
     this.progress.softwareVersion = place.softwareVersion;
@@ -353,6 +363,15 @@
   }
 }
 
+/** Log field: what the decision where a stream goes on rests on. */
+function toResumeBasis(
+  known: StreamOrigin | null,
+  place: ResumePlace | null,
+): 'origin' | 'sole_version' | 'none' {
+  if (!place) return 'none';
+  return known ? 'origin' : 'sole_version';
+}
+
 function toGatewayRefusal(reason: string): GatewayRefusal {
   switch (reason) {
     case QUEUE_REFUSAL.EXPIRED:
