Keep where streams began beyond the life of all gateways

What callers saw: after all gateways had ended at once, every stream that was taken up again was refused for two minutes (stream_not_resumable), though engines of its version were there.

Cause: where a stream began, and which versions a service had, was in the memory of gateways only. Copies in other zones outlast a gateway or a zone, but not all processes.

What a restore may have lost is written again, and a stream that is taken up is kept by the gateway that serves it now, for the next time.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -93,6 +93,36 @@
 /** Number of streams whose origins a member keeps; bounds memory. */
 export const MAX_STREAM_ORIGINS = 16_384;
 
+/**
+ * Time in milliseconds for which the snapshots keep a stream that broke off:
+ * callers come back within their time limits.
+ */
+export const BROKEN_STREAM_TTL_MS = 30_000;
+
+/** Number of streams in a member's snapshot; bounds its size. */
+export const MAX_ARCHIVED_STREAMS = 4_096;
+
+/** Longest request id in characters of a stream that is archived. */
+export const MAX_STREAM_ID_LENGTH = 128;
+
+/** Shortest interval in milliseconds of a member's snapshots. */
+export const MIN_SNAPSHOT_INTERVAL_MS = 200;
+
+/** That interval in milliseconds while snapshots can't be stored. */
+export const SNAPSHOT_RETRY_MS = 1_000;
+
+/**
+ * Snapshot interval in milliseconds per member of the cluster: limits the load of
+ * the platform's store to 100 snapshots per second at any cluster size.
+ */
+export const SNAPSHOT_INTERVAL_PER_MEMBER_MS = 10;
+
+/**
+ * Interval in milliseconds at which an unchanged snapshot is stored again: a third
+ * of the time for which the platform's store keeps it.
+ */
+export const SNAPSHOT_REFRESH_MS = STREAM_ORIGIN_TTL_MS / 3;
+
 /** Number of other members that get a copy of a stream's origin. */
 export const ORIGIN_COPIES = 2;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,8 +31,14 @@
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
+import {StreamArchive} from './stream_archive.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
-import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
+import type {
+  GatewayConfig,
+  GatewayMember,
+  StreamStore,
+  WireFormat,
+} from './types.js';
 import {UpstreamPaths} from './upstream_paths.js';
 import {UpstreamRegistry} from './upstream_registry.js';
 import {UsageExchange} from './usage_exchange.js';
@@ -61,6 +67,8 @@
   readonly wireFormat: WireFormat;
   /** Opens connections to upstreams. */
   readonly connect: ConnectSocket;
+  /** Keeps where streams began when all gateways have ended. */
+  readonly streamStore: StreamStore;
 }
 
 /**
@@ -132,6 +140,12 @@
       [quotaLedger, this.dispatcher.rateLimiter.ledger],
       this.configState,
     );
+    const streamArchive = new StreamArchive(
+      clock,
+      log,
+      options.streamStore,
+      () => members.allMembers.length,
+    );
     this.context = {
       settings,
       clock,
@@ -142,7 +156,13 @@
       dispatchClient,
       quotaLedger,
       crashGuard: new CrashGuard(clock, log, members, network, Math.random),
-      streamOrigins: new StreamOriginDirectory(log, members, network),
+      streamArchive,
+      streamOrigins: new StreamOriginDirectory(
+        log,
+        members,
+        network,
+        streamArchive,
+      ),
       limitObserver: new LimitObserver(
         clock,
         log,
@@ -229,6 +249,11 @@
     this.notifyConfigured();
   }
 
+  /** Stores again what the platform's store may have lost of this gateway. */
+  restoreStored(): void {
+    this.context.streamArchive.rewrite();
+  }
+
   /** Replaces the list of gateways; this one is always part of it. */
   setMembers(members: readonly GatewayMember[]): void {
     this.members.setMembers(members);
@@ -299,6 +324,7 @@
     this.monitor.close();
     this.usageExchange.close();
     this.context.crashGuard.close();
+    this.context.streamArchive.close();
     this.context.dispatchClient.close();
     this.dispatcher.close();
     this.network.close();
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -7,6 +7,7 @@
 import type {LimitObserver} from './limit_observer.js';
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
+import type {StreamArchive} from './stream_archive.js';
 import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {WireFormat} from './types.js';
 import type {UpstreamPaths} from './upstream_paths.js';
@@ -25,6 +26,7 @@
   readonly quotaLedger: QuotaLedger;
   readonly crashGuard: CrashGuard;
   readonly limitObserver: LimitObserver;
+  readonly streamArchive: StreamArchive;
   readonly streamOrigins: StreamOriginDirectory;
   readonly upstreamPaths: UpstreamPaths;
   readonly upstreams: UpstreamRegistry;
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -17,11 +17,9 @@
   sendBufferedResponse,
 } from './open_request.js';
 import {pickTarget} from './route_table.js';
+import {findResumePlace} from './resume_place.js';
 import type {SendOutcome} from './send_outcome.js';
-import type {StreamOrigin} from './stream_origin.js';
 import type {StreamProgress} from './stream_relay.js';
-import type {ResumePlace} from './stream_resumption.js';
-import {placeToResume} from './stream_resumption.js';
 import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {checkLife} from './upstream_life.js';
@@ -90,6 +88,17 @@
    * GatewayRefusalError if the request was refused or every attempt failed.
    */
   async run(): Promise<void> {
+    const {resumedRequestId, requestId} = this.request.head;
+    try {
+      await this.runToEnd();
+    } finally {
+      const isComplete = this.request.res.writableEnded;
+      const began = resumedRequestId ?? requestId;
+      this.gateway.streamArchive.end(began, isComplete);
+    }
+  }
+
+  private async runToEnd(): Promise<void> {
     await this.bindToOrigin();
     for (;;) {
       const placed = await this.place();
@@ -123,28 +132,8 @@
   /** Binds a stream that its caller takes up to where it began. */
   private async bindToOrigin(): Promise<void> {
     const {admission, head} = this.request;
-    const {lastEventId, resumedRequestId} = head;
-    if (!isStream(admission.route) || lastEventId === null) return;
-    const {streamOrigins, upstreams, clock} = this.gateway;
-    const known =
-      resumedRequestId === null
-        ? null
-        : await streamOrigins.find(resumedRequestId);
-    const place = placeToResume(
-      admission.route,
-      resumedRequestId,
-      known,
-      upstreams.versions,
-      clock.monotonicMs(),
-    );
-    this.gateway.log.info('stream_place_decided', {
-      id: head.requestId,
-      resumes: resumedRequestId ?? undefined,
-      basis: toResumeBasis(known, place),
-      service: place?.service,
-      version: place?.softwareVersion,
-      viewAgeMs: Math.round(this.gateway.configState.ageMs),
-    });
+    if (!isStream(admission.route) || head.lastEventId === null) return;
+    const place = await findResumePlace(this.gateway, this.request);
     if (!place) throw this.createNotResumableRefusal();
     this.service = place.service;
     this.progress.softwareVersion = place.softwareVersion;
@@ -363,15 +352,6 @@
   }
 }
 
-/** Log field: what the decision where a stream goes on rests on. */
-function toResumeBasis(
-  known: StreamOrigin | null,
-  place: ResumePlace | null,
-): 'origin' | 'sole_version' | 'none' {
-  if (!place) return 'none';
-  return known ? 'origin' : 'sole_version';
-}
-
 function toGatewayRefusal(reason: string): GatewayRefusal {
   switch (reason) {
     case QUEUE_REFUSAL.EXPIRED:
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -11,6 +11,16 @@
   readonly send: number;
 }
 
+/** What is known of where a stream began. */
+export interface OriginLookup {
+  readonly origin: StreamOrigin | null;
+  /**
+   * Whether all that were asked have answered, so that null means that nobody
+   * knows.
+   */
+  readonly isCertain: boolean;
+}
+
 /** The origin that counts among those that several members know. */
 export function latestOrigin(
   origins: readonly (StreamOrigin | null)[],
--- a/packages/gateway/src/stream_origin_directory.ts
+++ b/packages/gateway/src/stream_origin_directory.ts
@@ -14,7 +14,8 @@
 } from './constants.js';
 import type {MemberDirectory} from './member_directory.js';
 import {ORIGIN_ANSWER_SCHEMA, ORIGIN_SHARED_SCHEMA} from './messages.js';
-import type {StreamOrigin} from './stream_origin.js';
+import type {ArchiveLookup, StreamArchive} from './stream_archive.js';
+import type {OriginLookup, StreamOrigin} from './stream_origin.js';
 import {latestOrigin} from './stream_origin.js';
 import type {GatewayMember} from './types.js';
 
@@ -33,6 +34,7 @@
     private readonly log: Logger,
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
+    private readonly archive: StreamArchive,
   ) {}
 
   /** Records an origin here unless that of a later send is known. */
@@ -48,11 +50,12 @@
   }
 
   /**
-   * Records an origin here and at other members. Resolves when one of them has
-   * it, at the latest after ORIGIN_SHARE_TIMEOUT_MS.
+   * Records an origin here, at other members and in the archive. Resolves when
+   * another member has it, at the latest after ORIGIN_SHARE_TIMEOUT_MS.
    */
   async share(requestId: string, origin: StreamOrigin): Promise<void> {
     this.record(requestId, origin);
+    this.archive.open(requestId, origin);
     const holders = this.othersFor(requestId).slice(0, ORIGIN_COPIES);
     if (holders.length === 0) return;
     const calls = holders.map(async holder => {
@@ -77,23 +80,29 @@
     }
   }
 
-  /** Finds where a stream began; null if no reachable member knows. */
-  async find(requestId: string): Promise<StreamOrigin | null> {
+  /** Finds where a stream began, also if all members that knew have ended. */
+  async find(requestId: string): Promise<OriginLookup> {
     const known = this.get(requestId);
-    if (known) return known;
+    if (known) return {origin: known, isCertain: true};
     const members = this.othersFor(requestId).slice(0, ORIGIN_MEMBERS_ASKED);
     const answers = await Promise.all(
       members.map(member => this.ask(member, requestId)),
     );
-    const origin = latestOrigin(answers.map(answer => answer?.origin ?? null));
+    const told = latestOrigin(answers.map(answer => answer?.origin ?? null));
+    const answered = answers.filter(answer => answer !== null).length;
+    const archived = told ? null : await this.archive.find(requestId);
+    const origin = told ?? archived?.origin ?? null;
     this.log.info('stream_origin_asked', {
       id: requestId,
       asked: members.length,
-      answered: answers.filter(answer => answer !== null).length,
+      answered,
+      archive: archived ? toArchiveResult(archived) : undefined,
       service: origin?.service,
       version: origin?.softwareVersion,
     });
-    return origin;
+    const hasAllAnswers =
+      answered === members.length && archived?.isRead === true;
+    return {origin, isCertain: origin !== null || hasAllAnswers};
   }
 
   private async ask(
@@ -119,6 +128,15 @@
   }
 }
 
+/** Log field: what the archive answered. */
+function toArchiveResult({
+  origin,
+  isRead,
+}: ArchiveLookup): 'found' | 'unknown' | 'unread' {
+  if (!isRead) return 'unread';
+  return origin ? 'found' : 'unknown';
+}
+
 /** Few keys, since the ranking of the members is kept for each. */
 function bucketOf(requestId: string): number {
   let hash = 0;
--- a/packages/gateway/src/stream_resumption.test.ts
+++ b/packages/gateway/src/stream_resumption.test.ts
@@ -4,6 +4,9 @@
 import {placeToResume} from './stream_resumption.js';
 
 const ORIGIN = {service: 'app', softwareVersion: 'v1', send: 1};
+const KNOWN = {origin: ORIGIN, isCertain: true};
+const NOBODY_KNOWS = {origin: null, isCertain: true};
+const NOBODY_ANSWERED = {origin: null, isCertain: false};
 const ROUTE = {targets: [{service: 'app', weight: 1}]};
 const ID = 'request-1';
 
@@ -28,7 +31,7 @@
 
   it('is where the stream began, whatever else serves now', () => {
     see(0, 'v1', 'v2');
-    expect(placeToResume(ROUTE, ID, ORIGIN, versions, 1)).toMatchObject({
+    expect(placeToResume(ROUTE, ID, KNOWN, versions, 1)).toMatchObject({
       service: 'app',
       softwareVersion: 'v1',
     });
@@ -36,26 +39,28 @@
 
   it('is nowhere if the route no longer leads to the service', () => {
     const moved = {targets: [{service: 'other', weight: 1}]};
-    expect(placeToResume(moved, ID, ORIGIN, versions, 0)).toBeNull();
+    expect(placeToResume(moved, ID, KNOWN, versions, 0)).toBeNull();
     const drained = {
       targets: [
         {service: 'app', weight: 0},
         {service: 'other', weight: 1},
       ],
     };
-    expect(placeToResume(drained, ID, ORIGIN, versions, 0)).toBeNull();
+    expect(placeToResume(drained, ID, KNOWN, versions, 0)).toBeNull();
   });
 
   describe('for a stream whose beginning no member knows', () => {
     it('is nowhere while the history of versions is too short', () => {
       see(0, 'v1');
-      expect(placeToResume(ROUTE, ID, null, versions, 1_000)).toBeNull();
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, 1_000),
+      ).toBeNull();
     });
 
     it('is the only version that there was when it can have begun', () => {
       see(0, 'v1');
       const nowMs = STREAM_ORIGIN_TTL_MS + 1;
-      expect(placeToResume(ROUTE, ID, null, versions, nowMs)).toEqual({
+      expect(placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, nowMs)).toEqual({
         service: 'app',
         softwareVersion: 'v1',
       });
@@ -66,8 +71,12 @@
       see(0, 'v1');
       see(replacedAtMs, 'v2');
       const endMs = replacedAtMs + STREAM_ORIGIN_TTL_MS;
-      expect(placeToResume(ROUTE, ID, null, versions, endMs)).toBeNull();
-      expect(placeToResume(ROUTE, ID, null, versions, endMs + 1)).toEqual({
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, endMs),
+      ).toBeNull();
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, endMs + 1),
+      ).toEqual({
         service: 'app',
         softwareVersion: 'v2',
       });
@@ -77,21 +86,29 @@
   describe('for a stream that its caller does not name', () => {
     it('is the only version seen so far', () => {
       see(0, 'v1', 'v1');
-      expect(placeToResume(ROUTE, null, null, versions, 1)).toMatchObject({
+      expect(
+        placeToResume(ROUTE, null, NOBODY_ANSWERED, versions, 1),
+      ).toMatchObject({
         softwareVersion: 'v1',
       });
     });
 
     it('is nowhere with two versions, one unknown, or two services', () => {
       see(0, 'v1', 'v2');
-      expect(placeToResume(ROUTE, null, null, versions, 1)).toBeNull();
+      expect(
+        placeToResume(ROUTE, null, NOBODY_ANSWERED, versions, 1),
+      ).toBeNull();
       versions = new VersionHistory();
       see(0, 'v1', null);
-      expect(placeToResume(ROUTE, null, null, versions, 1)).toBeNull();
+      expect(
+        placeToResume(ROUTE, null, NOBODY_ANSWERED, versions, 1),
+      ).toBeNull();
       versions = new VersionHistory();
       see(0, 'v1');
       const split = {targets: [...ROUTE.targets, {service: 'b', weight: 1}]};
-      expect(placeToResume(split, null, null, versions, 1)).toBeNull();
+      expect(
+        placeToResume(split, null, NOBODY_ANSWERED, versions, 1),
+      ).toBeNull();
     });
   });
 });
--- a/packages/gateway/src/stream_resumption.ts
+++ b/packages/gateway/src/stream_resumption.ts
@@ -1,4 +1,8 @@
-import type {StreamOrigin, VersionHistory} from './stream_origin.js';
+import type {
+  OriginLookup,
+  StreamOrigin,
+  VersionHistory,
+} from './stream_origin.js';
 import type {Route} from './types.js';
 
 /** The service and software version at which a stream goes on. */
@@ -6,23 +10,23 @@
 
 /**
  * Decides where a stream that its caller takes up goes on; null if it can't.
- * `known` is its origin, or null if no reachable member knows it.
  */
 export function placeToResume(
   {targets}: Pick<Route, 'targets'>,
   resumedRequestId: string | null,
-  known: StreamOrigin | null,
+  {origin}: OriginLookup,
   versions: VersionHistory,
   nowMs: number,
 ): ResumePlace | null {
   const services = targets
     .filter(({weight}) => weight > 0)
     .map(({service}) => service);
-  if (known) return services.includes(known.service) ? known : null;
+  if (origin) return services.includes(origin.service) ? origin : null;
   const [service] = services;
   if (service === undefined || services.length > 1) return null;
-  // If there was one version only, the stream began at it. Callers that don't
-  // name their stream are served by what this member has seen so far.
+  // If there was one version only, the stream began at it; a member that got no
+  // answer may not know of others. Callers that don't name their stream are
+  // served by what this member has seen so far.
   if (resumedRequestId !== null && !versions.isComplete(nowMs)) return null;
   const softwareVersion = versions.soleVersionOf(service, nowMs);
   return softwareVersion === null ? null : {service, softwareVersion};
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -155,3 +155,20 @@
   /** Host and port at which it opens tunnels to upstreams; null if it doesn't. */
   readonly tunnelAddress: string | null;
 }
+
+/** A value that a member has stored, with its name for the log. */
+export interface StoredSnapshot {
+  readonly key: string;
+  readonly value: Buffer;
+}
+
+/**
+ * Stores each member's snapshot of its streams where it outlasts all members, for
+ * STREAM_ORIGIN_TTL_MS after the last write. Neither call rejects.
+ */
+export interface StreamStore {
+  /** Replaces this member's snapshot; false if that is not certain. */
+  readonly write: (value: Buffer) => Promise<boolean>;
+  /** Snapshots of all members, also ended ones; null if they can't be read. */
+  readonly readAll: () => Promise<readonly StoredSnapshot[] | null>;
+}
