Infer a stream's version only from a view that is known to be current

What callers saw: a gateway that was cut off from the others, or stood still, while upstreams of a new software version joined let streams that had begun on them go on at the old one: an answer joined from two versions.

Cause: the directory of origins returned null both for "nobody knows" and for "nobody answered", and the version was then inferred from the gateway's own list, whatever its age. Versions that came and went while the list could not be followed were not missed.

If somebody did not answer, the refusal names a time to come back.

--- a/packages/gateway/src/config_state.ts
+++ b/packages/gateway/src/config_state.ts
@@ -17,6 +17,7 @@
   private confirmedAtMs = -Infinity;
   /** Newest version that another member has in force. */
   private newestElsewhere = -1;
+  private readonly confirmListeners = new Set<() => void>();
 
   constructor(
     private readonly bootClock: BootClock,
@@ -83,5 +84,26 @@
   confirm(atMs: number): void {
     if ((this.current?.version ?? -1) < this.newestElsewhere) return;
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+    for (const listener of [...this.confirmListeners]) listener();
+  }
+
+  /**
+   * Waits for a confirmation that is not older than this call; false if none
+   * comes within `timeoutMs`.
+   */
+  whenConfirmed(timeoutMs: number): Promise<boolean> {
+    const calledAtMs = this.bootClock();
+    return new Promise(resolve => {
+      const end = (isConfirmed: boolean): void => {
+        clearTimeout(timer);
+        this.confirmListeners.delete(check);
+        resolve(isConfirmed);
+      };
+      const check = (): void => {
+        if (this.confirmedAtMs >= calledAtMs) end(true);
+      };
+      const timer = setTimeout(() => end(false), timeoutMs);
+      this.confirmListeners.add(check);
+    });
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -123,6 +123,12 @@
  */
 export const SNAPSHOT_REFRESH_MS = STREAM_ORIGIN_TTL_MS / 3;
 
+/**
+ * Time in milliseconds that a resumed stream waits for a confirmation that no
+ * upstream of another version has joined.
+ */
+export const VERSION_CONFIRMATION_TIMEOUT_MS = 700;
+
 /** Number of other members that get a copy of a stream's origin. */
 export const ORIGIN_COPIES = 2;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,6 +249,14 @@
     this.notifyConfigured();
   }
 
+  /**
+   * Begins the history of upstreams' versions anew: the list of upstreams is
+   * loaded again, and some may have come and gone unseen.
+   */
+  restartVersionHistory(): void {
+    this.upstreams.versions.restart();
+  }
+
   /** Stores again what the platform's store may have lost of this gateway. */
   restoreStored(): void {
     this.context.streamArchive.rewrite();
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -134,7 +134,6 @@
     const {admission, head} = this.request;
     if (!isStream(admission.route) || head.lastEventId === null) return;
     const place = await findResumePlace(this.gateway, this.request);
-    if (!place) throw this.createNotResumableRefusal();
     this.service = place.service;
     this.progress.softwareVersion = place.softwareVersion;
   }
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -1,3 +1,9 @@
+import {
+  GATEWAY_REFUSAL,
+  NOT_READY_RETRY_AFTER_MS,
+  VERSION_CONFIRMATION_TIMEOUT_MS,
+} from './constants.js';
+import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {OpenRequest} from './open_request.js';
 import type {OriginLookup} from './stream_origin.js';
@@ -6,12 +12,13 @@
 
 /**
  * Finds where a stream that its caller takes up goes on, and records that it is
- * served here; null if it can't go on.
+ * served here. Throws a GatewayRefusalError if it can't go on; with a Retry-After
+ * if members or the archive did not answer and may know.
  */
 export async function findResumePlace(
   gateway: GatewayContext,
   {admission, head}: OpenRequest,
-): Promise<ResumePlace | null> {
+): Promise<ResumePlace> {
   const {upstreams, clock, configState, streamOrigins, log} = gateway;
   const {resumedRequestId, requestId} = head;
   const lookup = await findOrigin(gateway, resumedRequestId);
@@ -30,7 +37,13 @@
     version: place?.softwareVersion,
     viewAgeMs: Math.round(configState.ageMs),
   });
-  if (place && resumedRequestId !== null) {
+  if (!place) {
+    throw new GatewayRefusalError(
+      GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE,
+      lookup.isCertain ? undefined : NOT_READY_RETRY_AFTER_MS,
+    );
+  }
+  if (resumedRequestId !== null) {
     const send = lookup.origin?.send ?? 1;
     void streamOrigins.share(resumedRequestId, {...place, send});
   }
@@ -39,11 +52,17 @@
 
 /** Finds where a stream began, or that nobody knows as of now. */
 async function findOrigin(
-  {streamOrigins}: GatewayContext,
+  {streamOrigins, configState}: GatewayContext,
   resumedRequestId: string | null,
 ): Promise<OriginLookup> {
-  if (resumedRequestId === null) return {origin: null, isCertain: false};
-  return streamOrigins.find(resumedRequestId);
+  if (resumedRequestId === null) return {origin: null, isCertain: true};
+  const lookup = await streamOrigins.find(resumedRequestId);
+  if (lookup.origin || !lookup.isCertain) return lookup;
+  // The versions that this member knows may be older than the stream.
+  const isConfirmed = await configState.whenConfirmed(
+    VERSION_CONFIRMATION_TIMEOUT_MS,
+  );
+  return {origin: null, isCertain: isConfirmed};
 }
 
 /** Log field: what the decision rests on. */
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -60,6 +60,14 @@
     }
   }
 
+  /**
+   * Begins anew, as versions may have come and gone unseen; those that were seen
+   * are kept.
+   */
+  restart(): void {
+    this.sinceMs = null;
+  }
+
   /**
    * The only version of a service that was seen within STREAM_ORIGIN_TTL_MS; null
    * if there were several or none, or one is not known.
--- a/packages/gateway/src/stream_resumption.test.ts
+++ b/packages/gateway/src/stream_resumption.test.ts
@@ -66,6 +66,28 @@
       });
     });
 
+    it('is nowhere if not all members have answered', () => {
+      see(0, 'v1');
+      const nowMs = STREAM_ORIGIN_TTL_MS + 1;
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_ANSWERED, versions, nowMs),
+      ).toBeNull();
+    });
+
+    it('is nowhere while the upstreams were loaded again meanwhile', () => {
+      see(0, 'v1');
+      const reloadedAtMs = STREAM_ORIGIN_TTL_MS;
+      versions.restart();
+      see(reloadedAtMs, 'v1');
+      const endMs = reloadedAtMs + STREAM_ORIGIN_TTL_MS;
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, endMs),
+      ).toBeNull();
+      expect(
+        placeToResume(ROUTE, ID, NOBODY_KNOWS, versions, endMs + 1),
+      ).not.toBeNull();
+    });
+
     it('is nowhere while an earlier version can have begun it', () => {
       const replacedAtMs = STREAM_ORIGIN_TTL_MS;
       see(0, 'v1');
--- a/packages/gateway/src/stream_resumption.ts
+++ b/packages/gateway/src/stream_resumption.ts
@@ -14,7 +14,7 @@
 export function placeToResume(
   {targets}: Pick<Route, 'targets'>,
   resumedRequestId: string | null,
-  {origin}: OriginLookup,
+  {origin, isCertain}: OriginLookup,
   versions: VersionHistory,
   nowMs: number,
 ): ResumePlace | null {
@@ -27,7 +27,8 @@
   // If there was one version only, the stream began at it; a member that got no
   // answer may not know of others. Callers that don't name their stream are
   // served by what this member has seen so far.
-  if (resumedRequestId !== null && !versions.isComplete(nowMs)) return null;
+  const isSure = isCertain && versions.isComplete(nowMs);
+  if (resumedRequestId !== null && !isSure) return null;
   const softwareVersion = versions.soleVersionOf(service, nowMs);
   return softwareVersion === null ? null : {service, softwareVersion};
 }
