Make what a send throws the end of that send

Callers got 502 at once, without a retry, when their request was granted an upstream whose entry can't be sent to (port out of range, 999.1.1.1, an id with a line break): 4 of 4 safe requests, though a sound engine was there. A path with a tab (Node.js parses it, but does not send it) or an engine's answer with status 099 had the same end.

Cause: http.request and writeHead throw, and openExchange passed that on as a rejection through UpstreamAttempt and RequestRun. The end was not reported: the upstream's slot stayed taken until the next reconciliation and the queue learnt nothing, so that the same upstream was granted again. net.connect and CONNECT to a bad port threw out of UpstreamPaths and NeighbourTunnels alike.

Change: openExchange never rejects; a call that can't be created is UNSENDABLE, which counts as unsent. It is held against the upstream only if its address or id can't be named in a request, so that no request takes sound upstreams down. Whatever else a send throws is its failure, in one place (UpstreamAttempt.sendAndHandle). RequestRun returns a grant whose end was not reported and logs grant_left_over. A path that can't be sent on is refused with 400 before it is charged. The caller server's clean-up is in a finally block. The daemon's runs take the same result as "not accepted".

--- a/packages/daemon/src/application_run.ts
+++ b/packages/daemon/src/application_run.ts
@@ -2,7 +2,7 @@
 import type {ReleaseKind} from '@fescuespool/coordination';
 import {HEADER, HOP_BY_HOP_HEADERS, RefusalError} from '@fescuespool/protocol';
 import type {HttpExchange} from '@fescuespool/transport';
-import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
+import {openExchange} from '@fescuespool/transport';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {RunResult, UpstreamGrant} from './dispatch.js';
 import {abortRefusal, NOT_ACCEPTED_RESULT} from './dispatch.js';
@@ -86,7 +86,7 @@
     }),
   );
   if (opened.isErr()) {
-    if (opened.error.kind === CALL_ERROR_KIND.NOT_SENT) {
+    if (opened.error.isUnsent) {
       return NOT_ACCEPTED_RESULT;
     }
     if (signal.aborted) {
--- a/packages/daemon/src/chat_run.ts
+++ b/packages/daemon/src/chat_run.ts
@@ -11,7 +11,7 @@
   SseParser,
 } from '@fescuespool/protocol';
 import type {CallError, HttpExchange} from '@fescuespool/transport';
-import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
+import {openExchange} from '@fescuespool/transport';
 import type {Result} from 'neverthrow';
 import type {ChatSink} from './chat_sink.js';
 import {
@@ -79,7 +79,7 @@
     const opened = grant.isJoined ? await this.resume() : await this.submit();
     if (signal.aborted) return this.cancel(opened);
     if (opened.isErr()) {
-      if (opened.error.kind === CALL_ERROR_KIND.NOT_SENT && !grant.isJoined) {
+      if (opened.error.isUnsent && !grant.isJoined) {
         return NOT_ACCEPTED_RESULT;
       }
       this.detectUpstreamDeath(opened.error);
@@ -231,9 +231,7 @@
 
   private cancel(opened: Result<HttpExchange, CallError> | null): RunResult {
     const {context, grant, scope} = this.options;
-    const isUnsent =
-      opened?.isErr() === true &&
-      opened.error.kind === CALL_ERROR_KIND.NOT_SENT;
+    const isUnsent = opened?.isErr() === true && opened.error.isUnsent;
     if (isUnsent) {
       const refusal = abortRefusal(scope, OUTCOME.NOT_RUN);
       return this.makeResult(RELEASE_KIND.NOT_ACCEPTED, refusal);
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -18,6 +18,8 @@
 
 const MS_PER_SECOND = 1_000;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
+/** Node.js parses other paths too, such as those with a tab, but sends none. */
+const SENDABLE_PATH = /^[\u0021-\u00ff]+$/;
 
 /** Serves callers: admits, runs and logs each of their requests. */
 export class CallerServer {
@@ -49,18 +51,21 @@
   /** Serves one request from its head to its log line; never rejects. */
   async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res);
-    const head = this.gateway.wireFormat.parseRequest(req);
     this.openCount++;
     if (this.isDraining) res.shouldKeepAlive = false;
     res.once('finish', () => {
       if (this.isClosing) req.socket.destroySoon();
     });
+    let head: RequestHead | null = null;
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
     let isCharged = false;
     let refusal: GatewayRefusalError | null = null;
     try {
-      if (!head) throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
+      head = this.gateway.wireFormat.parseRequest(req);
+      if (!head || !SENDABLE_PATH.test(req.url ?? '')) {
+        throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
+      }
       if (this.isClosing) {
         throw new GatewayRefusalError(
           GATEWAY_REFUSAL.STOPPING,
@@ -89,12 +94,13 @@
       await run.run();
     } catch (e) {
       refusal = this.refuse(res, head, e, timer.hasCallerLeft);
+    } finally {
+      timer.stop();
+      const hasNotRun = run?.hasNotRun ?? true;
+      if (admission && isCharged && hasNotRun) this.refund(admission);
+      this.logEnd(res, head, admission, run, refusal, timer);
+      this.finishRequest();
     }
-    timer.stop();
-    const hasNotRun = run?.hasNotRun ?? true;
-    if (admission && isCharged && hasNotRun) this.refund(admission);
-    this.logEnd(res, head, admission, run, refusal, timer);
-    this.finishRequest();
   }
 
   private async readBody(req: IncomingMessage): Promise<Buffer> {
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -88,6 +88,14 @@
    * GatewayRefusalError if the request was refused or every attempt failed.
    */
   async run(): Promise<void> {
+    try {
+      await this.runToEnd();
+    } finally {
+      this.returnHeldGrant();
+    }
+  }
+
+  private async runToEnd(): Promise<void> {
     await this.bindToOrigin();
     for (;;) {
       const placed = await this.place();
@@ -272,8 +280,21 @@
       id: requestId,
       upstream: instanceId,
     });
+    this.reportUnused(end);
+  }
+
+  /** Returns the grant of a send whose end was not reported. */
+  private returnHeldGrant(): void {
+    const {requestId} = this.request.head;
+    const grantedBy = this.gateway.dispatchClient.granterOf(requestId);
+    if (grantedBy === undefined) return;
+    this.gateway.log.error('grant_left_over', {id: requestId, grantedBy});
+    this.reportUnused(RUN_END.CANCELLED);
+  }
+
+  private reportUnused(end: RunEnd): void {
     this.gateway.dispatchClient.reportEnd({
-      requestId,
+      requestId: this.request.head.requestId,
       end,
       runMs: 0,
       eventGapMs: null,
--- a/packages/gateway/src/send_outcome.ts
+++ b/packages/gateway/src/send_outcome.ts
@@ -13,7 +13,7 @@
   readonly mayHaveRun: boolean;
   /** Whether the connection broke or could not be established. */
   readonly isConnectionFailure: boolean;
-  /** Whether this gateway's path to the upstream is lost. */
+  /** Whether the cause lies with this gateway, not with the upstream. */
   readonly isOwnFault: boolean;
   /** The upstream's error response, sent to the caller if no retry succeeds. */
   readonly errorResponse: BufferedResponse | null;
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -67,7 +67,7 @@
   async run(): Promise<SendOutcome> {
     const {clock, dispatchClient, metrics, upstreams} = this.gateway;
     this.sentAtMs = clock.monotonicMs();
-    const outcome = await this.handleSendResult(await this.send());
+    const outcome = await this.sendAndHandle();
     const {instanceId} = this.placement.upstream;
     if (outcome.end === RUN_END.COMPLETED) {
       upstreams.recordResponse(instanceId, clock.monotonicMs());
@@ -90,6 +90,18 @@
     return outcome;
   }
 
+  /** Sends the request; whatever is thrown is a failed send. */
+  private async sendAndHandle(): Promise<SendOutcome> {
+    let sent: SendResult | null = null;
+    try {
+      sent = await this.send();
+      return await this.handleSendResult(sent);
+    } catch (e) {
+      if (sent?.kind === 'answered') sent.exchange.abort();
+      return failedRun(RUN_END.FAILED, String(e));
+    }
+  }
+
   private send(): Promise<SendResult> {
     const {req, body, admission, timer} = this.request;
     const {upstream, expectedStartMs} = this.placement;
--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -211,7 +211,14 @@
     timeoutMs: number,
   ): Promise<Socket | Error> {
     return new Promise(resolve => {
-      const socket = this.options.connect(args);
+      let socket: Socket;
+      try {
+        socket = this.options.connect(args);
+      } catch (e) {
+        // The port is out of range.
+        resolve(e instanceof Error ? e : new Error(String(e)));
+        return;
+      }
       const fail = (error: Error): void => {
         clearTimeout(timer);
         socket.destroy();
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -1,7 +1,8 @@
 import type {UpstreamSpec} from '@fescuespool/scheduling';
-import type {HttpExchange} from '@fescuespool/transport';
+import type {CallError, HttpExchange} from '@fescuespool/transport';
 import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
+import {isAddressable} from './address.js';
 import {ANY_PATH_TIMEOUT_MS, MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
 import {PathError} from './errors.js';
 import type {UpstreamResponseHead, WireFormat} from './types.js';
@@ -30,7 +31,7 @@
   | {
       readonly kind: 'unreachable';
       readonly cause: string;
-      /** Whether this gateway's path is lost, not the upstream. */
+      /** Whether the cause lies with this gateway, not with the upstream. */
       readonly isOwnFault: boolean;
     }
   /** The connection broke; the request may have run. */
@@ -59,20 +60,25 @@
     const head = wireFormat.parseResponse(res.statusCode ?? 0, res.headers);
     return {kind: 'answered', exchange: opened.value, head};
   }
-  const {kind, isTimeout, message, cause} = opened.error;
-  if (kind === CALL_ERROR_KIND.NOT_SENT) {
-    return request.signal.aborted
-      ? {kind: 'aborted'}
-      : {
-          kind: 'unreachable',
-          cause: message,
-          isOwnFault: cause instanceof PathError && cause.isOwnFault,
-        };
-  }
   if (request.signal.aborted) return {kind: 'aborted'};
+  const {isUnsent, isTimeout, message} = opened.error;
+  if (isUnsent) {
+    const isOwnFault = isOwnFaultIn(opened.error, request.upstream);
+    return {kind: 'unreachable', cause: message, isOwnFault};
+  }
   return isTimeout ? {kind: 'silent'} : {kind: 'broken', cause: message};
 }
 
+/** Whether a failure to send says nothing against the upstream. */
+function isOwnFaultIn(
+  {kind, cause}: CallError,
+  upstream: UpstreamSpec,
+): boolean {
+  return kind === CALL_ERROR_KIND.UNSENDABLE
+    ? isAddressable(upstream)
+    : cause instanceof PathError && cause.isOwnFault;
+}
+
 /** A complete response, buffered before any of it is sent to the caller. */
 export interface BufferedResponse {
   readonly status: number;
--- a/packages/transport/src/constants.ts
+++ b/packages/transport/src/constants.ts
@@ -2,6 +2,8 @@
 export const CALL_ERROR_KIND = {
   /** No byte was written: the connection was never established. */
   NOT_SENT: 'not_sent',
+  /** No byte was written: the URL, the path or a header is invalid. */
+  UNSENDABLE: 'unsendable',
   /** The connection broke after bytes may have been written. */
   AMBIGUOUS: 'ambiguous',
 } as const;
--- a/packages/transport/src/errors.ts
+++ b/packages/transport/src/errors.ts
@@ -1,3 +1,4 @@
+import {CALL_ERROR_KIND} from './constants.js';
 import type {CallErrorKind} from './types.js';
 
 /** A failed HTTP call; its kind says whether a byte can have been sent. */
@@ -12,6 +13,11 @@
     super(message, options);
     this.name = 'CallError';
   }
+
+  /** Whether it is certain that no byte was written. */
+  get isUnsent(): boolean {
+    return this.kind !== CALL_ERROR_KIND.AMBIGUOUS;
+  }
 }
 
 /** A body that exceeds its maximum size in bytes. */
--- a/packages/transport/src/http_client.test.ts
+++ b/packages/transport/src/http_client.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import net from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
+import type {HttpCall} from './http_client.js';
 import {openExchange, readBody} from './http_client.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
@@ -21,6 +22,23 @@
   },
 };
 
+const UNSENDABLE_CALLS: Record<string, Partial<HttpCall>> = {
+  'a port out of range': {url: 'http://127.0.0.1:99999'},
+  'an address that is none': {url: 'http://999.1.1.1:80'},
+  'a path with a tab': {rawPath: '/a\tb'},
+  'a header with a line break': {headers: ['X-Name', 'a\nb']},
+};
+
+describe('openExchange of a call that can not be sent', () => {
+  for (const [name, changes] of Object.entries(UNSENDABLE_CALLS)) {
+    it(`reports ${name} as an unsent call instead of throwing`, async () => {
+      const call = {url: 'http://127.0.0.1:1', method: 'GET', ...changes};
+      const error = (await openExchange(call))._unsafeUnwrapErr();
+      expect(error).toMatchObject({kind: 'unsendable', isUnsent: true});
+    });
+  }
+});
+
 describe('openExchange', () => {
   let server: Server;
 
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -62,13 +62,19 @@
 
 /**
  * Sends a request and waits for the response head. The kind of a CallError says
- * whether any byte can have reached the server.
+ * whether any byte can have reached the server. Never rejects.
  */
 export function openExchange(
   call: HttpCall,
 ): Promise<Result<HttpExchange, CallError>> {
   return new Promise(resolve => {
-    const req = createRequest(call);
+    let req: http.ClientRequest;
+    try {
+      req = createRequest(call);
+    } catch (e) {
+      resolve(err(toUnsendable(e)));
+      return;
+    }
     let isConnected = false;
     let isTimeout = false;
     const fail = (cause: Error): void => {
@@ -130,6 +136,12 @@
   });
 }
 
+function toUnsendable(e: unknown): CallError {
+  const cause = e instanceof Error ? e : new Error(String(e));
+  const {UNSENDABLE} = CALL_ERROR_KIND;
+  return new CallError(UNSENDABLE, cause.message, false, {cause});
+}
+
 /**
  * Whether a response has neither a length nor a transfer encoding, so that the
  * end of its connection delimits it.
--- a/packages/transport/src/platform_client.ts
+++ b/packages/transport/src/platform_client.ts
@@ -17,7 +17,6 @@
 import http from 'node:http';
 import {z} from 'zod';
 import {
-  CALL_ERROR_KIND,
   MAX_RESPONSE_BYTES,
   PLATFORM_MAX_SOCKETS,
   PLATFORM_TIMEOUT_MS,
@@ -42,10 +41,9 @@
 }
 
 function toStoreError(error: CallError): StoreError {
-  const kind =
-    error.kind === CALL_ERROR_KIND.NOT_SENT
-      ? STORE_ERROR_KIND.UNAVAILABLE
-      : STORE_ERROR_KIND.UNCLEAR;
+  const kind = error.isUnsent
+    ? STORE_ERROR_KIND.UNAVAILABLE
+    : STORE_ERROR_KIND.UNCLEAR;
   return new StoreError(kind, error.message);
 }
 
--- a/packages/transport/src/tunnel_client.ts
+++ b/packages/transport/src/tunnel_client.ts
@@ -20,12 +20,19 @@
   timeoutMs: number,
 ): Promise<TunnelResult> {
   return new Promise(resolve => {
-    const req = http.request({
-      ...peer,
-      method: 'CONNECT',
-      path: target,
-      agent: false,
-    });
+    let req: http.ClientRequest;
+    try {
+      req = http.request({
+        ...peer,
+        method: 'CONNECT',
+        path: target,
+        agent: false,
+      });
+    } catch (e) {
+      // The address of the peer is invalid.
+      resolve({kind: 'unavailable', cause: String(e)});
+      return;
+    }
     const timer = setTimeout(
       () => req.destroy(new Error('tunnel timed out')),
       timeoutMs,
