Take no entry for an engine or a gateway that can not be one

Callers got 502, or waited for nothing, while an entry of another writer stood among those of the engines: one with port 0, 65536 or 99999, with 999.1.1.1 or `....` as its address, with 1e15 slots, with an id that can't be sent in a header. PROTOCOL.md: such an entry names no engine to use.

Cause: the decoder checked the shape of an address by /^[\d.]+:\d{1,5}$/ and numbers by their type alone. Members' addresses were any string, so that an odd one became the owner of queues until it was suspected, and its tunnel address threw. An epoch marker could name any epoch: one above the store's kept later epochs from being marked.

The message of an error names 16 findings at most, and a check that overflows the stack is a finding.

--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -20,3 +20,6 @@
 
 /** Maximum number of distinct counters in the statistics of a process. */
 export const MAX_COUNTER_KEYS = 2_000;
+
+/** Number of findings that the message of an error names. */
+export const MAX_NAMED_FINDINGS = 16;
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -1,3 +1,4 @@
+import {MAX_NAMED_FINDINGS} from './constants.js';
 import type {Finding} from './types.js';
 
 /** Rejection of an input, with every finding and the path of its value. */
@@ -6,11 +7,18 @@
     readonly subject: string,
     readonly findings: readonly Finding[],
   ) {
-    super(`${subject}: ${findings.map(formatFinding).join('; ')}`);
+    super(`${subject}: ${summarize(findings)}`);
     this.name = 'FindingsError';
   }
 }
 
+function summarize(findings: readonly Finding[]): string {
+  const named = findings.slice(0, MAX_NAMED_FINDINGS).map(formatFinding);
+  const others = findings.length - named.length;
+  if (others > 0) named.push(`and ${others} more`);
+  return named.join('; ');
+}
+
 /** Formats a finding as `place: message`, with `(root)` for an empty place. */
 export function formatFinding(finding: Finding): string {
   return `${finding.place || '(root)'}: ${finding.message}`;
--- a/packages/common/src/findings.ts
+++ b/packages/common/src/findings.ts
@@ -18,15 +18,18 @@
   try {
     return ok(JSON.parse(text) as unknown);
   } catch (e) {
-    const message = e instanceof Error ? e.message : String(e);
-    return err(
-      new FindingsError(subject, [
-        errorFinding('', `invalid JSON: ${message}`),
-      ]),
-    );
+    return err(createFindingsError(subject, `invalid JSON: ${messageOf(e)}`));
   }
 }
 
+/** Creates an error with one finding about the whole input. */
+export function createFindingsError(
+  subject: string,
+  message: string,
+): FindingsError {
+  return new FindingsError(subject, [errorFinding('', message)]);
+}
+
 /**
  * Checks a value against a schema and returns the parsed value; the error
  * contains the subject, the name of the input, and all findings.
@@ -36,10 +39,20 @@
   schema: z.ZodType<T>,
   value: unknown,
 ): Result<T, FindingsError> {
-  const parsed = schema.safeParse(value);
+  let parsed: z.ZodSafeParseResult<T>;
+  try {
+    parsed = schema.safeParse(value);
+  } catch (e) {
+    // A great many findings overflow the stack of zod.
+    return err(createFindingsError(subject, `not checked: ${messageOf(e)}`));
+  }
   if (parsed.success) return ok(parsed.data);
   const findings = parsed.error.issues.map(issue =>
     errorFinding(issue.path.map(String).join('.'), issue.message),
   );
   return err(new FindingsError(subject, findings));
 }
+
+function messageOf(e: unknown): string {
+  return e instanceof Error ? e.message : String(e);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './admission.js';
 export * from './config_state.js';
 export * from './constants.js';
