--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -92,6 +92,7 @@
     try {
       await this.runToEnd();
     } finally {
+      this.returnHeldGrant();
       const isComplete = this.request.res.writableEnded;
       const began = resumedRequestId ?? requestId;
       this.gateway.streamArchive.end(began, isComplete);
@@ -270,8 +271,21 @@
       id: requestId,
       upstream: instanceId,
     });
+    this.reportUnused(end);
+  }
+
+  /** Returns the grant of a send whose end was not reported. */
+  private returnHeldGrant(): void {
+    const {requestId} = this.request.head;
+    const grantedBy = this.gateway.dispatchClient.granterOf(requestId);
+    if (grantedBy === undefined) return;
+    this.gateway.log.error('grant_left_over', {id: requestId, grantedBy});
+    this.reportUnused(RUN_END.CANCELLED);
+  }
+
+  private reportUnused(end: RunEnd): void {
     this.gateway.dispatchClient.reportEnd({
-      requestId,
+      requestId: this.request.head.requestId,
       end,
       runMs: 0,
       eventGapMs: null,
