Tell in logs what may end a request beside a change

request_ended and request_refused carry admittedAtVersion; response_cut, grant_refused and idle_connection_closed are new.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -18,6 +18,8 @@
   readonly account: ClientAccount | null;
   /** Tokens or requests that are charged to the account's quota. */
   readonly quotaUnits: number;
+  /** Version of the configuration that admitted it. */
+  readonly configVersion: number;
 }
 
 /** Configuration by which requests are admitted. */
@@ -57,13 +59,15 @@
       ? staleRefusal()
       : new GatewayRefusalError(GATEWAY_REFUSAL.NO_ROUTE);
   }
+  const configVersion = cfg.version;
   if (route.isPublic || !cfg.requiresKeys) {
-    return {route, account: null, quotaUnits: 0};
+    return {route, account: null, quotaUnits: 0, configVersion};
   }
   if (isStale) throw staleRefusal();
   const account = head.key === null ? null : cfg.accountsByKey.get(head.key);
   if (!account) throw new GatewayRefusalError(GATEWAY_REFUSAL.UNKNOWN_KEY);
-  return {route, account, quotaUnits: quotaUnitsOf(account, head)};
+  const quotaUnits = quotaUnitsOf(account, head);
+  return {route, account, quotaUnits, configVersion};
 }
 
 function quotaUnitsOf(account: ClientAccount, head: RequestHead): number {
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -187,6 +187,8 @@
       // Only a cut connection keeps every caller from taking the part that was
       // sent for a complete response.
       res.destroy();
+      const {reason} = refusal;
+      this.gateway.log.warn('response_cut', {id: head?.requestId, reason});
       return refusal;
     }
     this.sendRefusal(res, head, refusal);
@@ -234,6 +236,7 @@
       callerLeft: timer.hasCallerLeft || undefined,
       elapsedMs,
       configVersion: configState.current?.version,
+      admittedAtVersion: admission?.configVersion,
       configAgeMs: Math.round(configState.ageMs),
       ...run?.summary,
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
+import {closeIdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
 import {createPeerHandlers} from './peer_handlers.js';
@@ -172,6 +173,7 @@
       },
       (req, res) => void this.callerServer.serve(req, res),
     );
+    closeIdleConnections(this.callerHttpServer, log);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -230,6 +230,13 @@
     );
     if (answer.kind === 'aborted') return this.createTimeoutRefusal();
     if (answer.kind === 'refused') {
+      this.gateway.log.info('grant_refused', {
+        id: head.requestId,
+        service: this.service,
+        reason: answer.reason,
+        version: this.progress.softwareVersion ?? undefined,
+        runs: this.possibleRuns,
+      });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
         return this.createNotResumableRefusal();
       }
