Keep idle connections for the longest limit their callers may go by

Callers saw: a request on a kept connection met a connection that closed, so that it got neither an answer nor a refusal, beside a change of the idle limit.

Cause: the idle timer of a connection was armed once, when its last response had finished, by the limit of that moment. A version that raised the limit did not reach the connections that were idle already, and one that lowered it while a request ran closed the connection sooner than the Keep-Alive header of its response had announced, as Node.js announces the limit when the request comes and arms the one when the response ends.

Evidence, on the code before: in idle_limits.test.ts 'answers a late request after the limit was raised while it was idle' and 'keeps a connection for the limit that its response announced' failed with 'expected 1 to be 2' (answers). A lowered limit under an idle connection and a series of changes held before.

Change: IdleConnections knows which connections are idle and since when. It keeps each for the largest of the announced limit, the one in force when the response ended and all that came into force since. It closes them as before 1 s later, the margin that Node.js has. Whether the users' report is this fault is not shown.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -321,3 +321,9 @@
 
 /** Largest request head in bytes; set before the configuration is known. */
 export const MAX_HEADER_BYTES = 65_536;
+
+/**
+ * Time in milliseconds that idle connections are kept beyond their limit, for
+ * requests that are on their way.
+ */
+export const IDLE_CLOSE_MARGIN_MS = 1_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
-import {closeIdleConnections} from './idle_connections.js';
+import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
 import {createPeerHandlers} from './peer_handlers.js';
@@ -81,6 +81,7 @@
   private readonly usageExchange: UsageExchange;
   private readonly callerServer: CallerServer;
   private readonly callerHttpServer: http.Server;
+  private readonly idleConnections: IdleConnections;
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
@@ -171,9 +172,16 @@
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      (req, res) => void this.callerServer.serve(req, res),
+      (req, res) => {
+        this.idleConnections.handleRequest(req, res);
+        void this.callerServer.serve(req, res);
+      },
+    );
+    this.idleConnections = new IdleConnections(
+      this.callerHttpServer,
+      clock,
+      log,
     );
-    closeIdleConnections(this.callerHttpServer, log);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
@@ -219,7 +227,7 @@
       if (quota) this.context.quotaLedger.openBucket(name, quota, now);
     }
     this.notifyConfigured();
-    this.callerHttpServer.keepAliveTimeout = cfg.limits.idleTimeoutMs;
+    this.idleConnections.setLimit(cfg.limits.idleTimeoutMs);
     this.callerHttpServer.headersTimeout = cfg.limits.headTimeoutMs;
   }
 
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -1,15 +1,83 @@
-import type {Logger} from '@fescuespool/common';
+import type {Clock, Logger} from '@fescuespool/common';
 import type http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {IDLE_CLOSE_MARGIN_MS} from './constants.js';
 
-/** Closes connections whose idle timer has run out, and logs the unexpected. */
-export function closeIdleConnections(server: http.Server, log: Logger): void {
-  server.on('timeout', (socket: Socket) => {
-    const afterMs = socket.timeout;
-    const limitMs = server.keepAliveTimeout;
-    if (afterMs !== limitMs) {
-      log.info('idle_connection_closed', {afterMs, limitMs});
+/** A connection without an open request. */
+interface IdleConnection {
+  readonly sinceMs: number;
+  /** Longest limit that its caller may go by. */
+  readonly limitMs: number;
+}
+
+/**
+ * Closes idle connections of callers. Each is kept for as long as any limit
+ * that its last response announced, or that has come into force since.
+ */
+export class IdleConnections {
+  private readonly idle = new Map<Socket, IdleConnection>();
+  /** Number of open requests of each connection that has any. */
+  private readonly openRequests = new Map<Socket, number>();
+
+  constructor(
+    private readonly server: http.Server,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {
+    server.on('connection', (socket: Socket) =>
+      socket.once('close', () => this.forget(socket)),
+    );
+    server.on('timeout', (socket: Socket) => this.close(socket));
+  }
+
+  /** Follows a request to the end of its response. */
+  handleRequest({socket}: IncomingMessage, res: ServerResponse): void {
+    const announcedMs = this.server.keepAliveTimeout;
+    this.idle.delete(socket);
+    const count = this.openRequests.get(socket) ?? 0;
+    this.openRequests.set(socket, count + 1);
+    res.once('finish', () => this.handleResponse(socket, announcedMs));
+  }
+
+  /** Applies a limit in milliseconds; it shortens no wait that has begun. */
+  setLimit(limitMs: number): void {
+    this.server.keepAliveTimeout = limitMs;
+    for (const [socket, {sinceMs, limitMs: previousMs}] of this.idle) {
+      if (limitMs > previousMs) this.keep(socket, sinceMs, limitMs);
+    }
+  }
+
+  private handleResponse(socket: Socket, announcedMs: number): void {
+    const count = (this.openRequests.get(socket) ?? 0) - 1;
+    if (count > 0) {
+      this.openRequests.set(socket, count);
+      return;
+    }
+    this.openRequests.delete(socket);
+    if (socket.destroyed || socket.writableEnded) return;
+    const limitMs = Math.max(announcedMs, this.server.keepAliveTimeout);
+    this.keep(socket, this.clock.monotonicMs(), limitMs);
+  }
+
+  private keep(socket: Socket, sinceMs: number, limitMs: number): void {
+    this.idle.set(socket, {sinceMs, limitMs});
+    const idleMs = this.clock.monotonicMs() - sinceMs;
+    socket.setTimeout(Math.max(1, limitMs - idleMs + IDLE_CLOSE_MARGIN_MS));
+  }
+
+  private close(socket: Socket): void {
+    const connection = this.idle.get(socket);
+    const inForceMs = this.server.keepAliveTimeout;
+    if (connection && connection.limitMs !== inForceMs) {
+      const {limitMs} = connection;
+      this.log.info('idle_connection_closed', {limitMs, inForceMs});
     }
     socket.destroy();
-  });
+  }
+
+  private forget(socket: Socket): void {
+    this.idle.delete(socket);
+    this.openRequests.delete(socket);
+  }
 }
