Read what has arrived before an idle connection is closed

Callers saw: a request sent well inside the idle limit met a closed connection, without an answer.

Cause: after a stall of the process the idle timers run out before the sockets are read, so that a connection was reset although its next request lay in the socket's buffer.

Evidence, on the code before: 'answers a request that arrived before a late idle timer ran out' in idle_limits.test.ts failed with 'expected 1 to be 2'.

Change: a connection whose timer has run out is closed only after one round of reading brought no bytes for it.

--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -28,7 +28,7 @@
     server.on('connection', (socket: Socket) =>
       socket.once('close', () => this.forget(socket)),
     );
-    server.on('timeout', (socket: Socket) => this.close(socket));
+    server.on('timeout', (socket: Socket) => this.closeUnlessRead(socket));
   }
 
   /** Follows a request to the end of its response. */
@@ -66,6 +66,15 @@
     socket.setTimeout(Math.max(1, limitMs - idleMs + IDLE_CLOSE_MARGIN_MS));
   }
 
+  /** Closes a connection unless bytes of a request are waiting to be read. */
+  private closeUnlessRead(socket: Socket): void {
+    const {bytesRead} = socket;
+    // After a stall, timers run out before the bytes that came meanwhile are read.
+    setImmediate(() => {
+      if (socket.bytesRead === bytesRead) this.close(socket);
+    });
+  }
+
   private close(socket: Socket): void {
     const connection = this.idle.get(socket);
     const inForceMs = this.server.keepAliveTimeout;
