Send nothing more to an upstream that says it leaves

What callers saw: an upstream that says `Server-Leaving: 1` with its responses while its entry still says ready went on to get requests until its entry changed, up to its end; the header also went out to callers. Streams of a version of which only leaving upstreams were left were sent to them.

Cause: the header was not decoded, and only entries of the store marked an upstream as leaving.

The registry marks that life of the upstream, whatever its entry says afterwards, and the marked list goes to the queues, so that the paths of listed leaving (grants handed back, NO_VERSION, no retries there) hold unchanged. A neighbour whose tunnel carried the response is told by a call that is repeated until it is confirmed, and declines tunnels (409; an earlier release takes it as unavailable). A death probe of an upstream that said it leaves is no death. Nothing is broadcast. Reports without the new list and notices unknown to earlier releases are accepted or ignored.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -76,6 +76,7 @@
   CRASH_CAUSES: 'gateway.crash_causes',
   STREAM_BEGAN: 'gateway.stream_began',
   STREAM_ORIGIN: 'gateway.stream_origin',
+  UPSTREAM_NOTICE: 'gateway.upstream_notice',
 } as const;
 
 /** Interval in milliseconds at which a member asks another for crash causes. */
@@ -301,6 +302,27 @@
  */
 export const MAX_REMOVED_UPSTREAMS = 4_096;
 
+/** Number of upstreams that one run report names as leaving. */
+export const MAX_LEAVING_REPORTED = 1_024;
+
+/** Number of lives of upstreams remembered that said they leave. */
+export const MAX_LEAVING_TOLD = 4_096;
+
+/**
+ * Number of notices remembered that neighbours got about upstreams at the ends of
+ * their tunnels.
+ */
+export const MAX_NEIGHBOUR_NOTICES = 4_096;
+
+/** Number of times that such a notice is sent until the neighbour confirms it. */
+export const NEIGHBOUR_NOTICE_ATTEMPTS = 4;
+
+/** Timeout in milliseconds of one such attempt. */
+export const NEIGHBOUR_NOTICE_TIMEOUT_MS = 250;
+
+/** Time in milliseconds between two attempts. */
+export const NEIGHBOUR_NOTICE_RETRY_MS = 100;
+
 /**
  * Time in milliseconds before its maximum age at which a configuration is
  * stale.
--- a/packages/gateway/src/death_probe.ts
+++ b/packages/gateway/src/death_probe.ts
@@ -11,6 +11,8 @@
   DIED: 'died',
   /** Nor do the other probed upstreams of its zone accept connections. */
   ZONE_UNREACHABLE: 'zone_unreachable',
+  /** It ended as it had said. */
+  LEFT: 'left',
 } as const;
 
 /**
@@ -23,6 +25,7 @@
   upstream: UpstreamSpec,
 ): Promise<ValueOf<typeof PROBE_RESULT>> {
   if (await upstreamPaths.accepts(upstream.address)) return PROBE_RESULT.ALIVE;
+  if (upstreams.hasSaidLeaving(upstream)) return PROBE_RESULT.LEFT;
   const others = upstreams.othersInZone(upstream, MAX_ZONE_PROBES);
   const probeResults = await Promise.all(
     others.map(({address}) => upstreamPaths.accepts(address)),
--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -13,6 +13,7 @@
 import {
   GATEWAY_METHOD,
   GRANT_CALL_TIMEOUT_MS,
+  MAX_LEAVING_REPORTED,
   MOVED_RETRY_DELAY_MS,
   RUN_REPORT_INTERVAL_MS,
 } from './constants.js';
@@ -131,8 +132,8 @@
     return this.grantedRuns.get(requestId)?.grantedBy.id;
   }
 
-  /** Reports the known limits of an upstream's service to its queue now. */
-  reportLimit(instanceId: string): void {
+  /** Reports what the upstreams of a service said to its queue now. */
+  reportNow(instanceId: string): void {
     const service = this.upstreams.serviceOf(instanceId);
     const report = this.createRunReports().find(
       candidate => candidate.service === service,
@@ -264,6 +265,7 @@
         entryId,
         runs: [],
         limits: [],
+        leaving: [],
       };
       reports.set(service, report);
       return report;
@@ -279,6 +281,11 @@
       const ageMs = Math.round(now - statedAtMs);
       reportOf(service).limits.push({...statement, ageMs});
     }
+    const {leavingButListed} = this.upstreams;
+    for (const told of leavingButListed.slice(0, MAX_LEAVING_REPORTED)) {
+      const {service, ...life} = told;
+      reportOf(service).leaving.push(life);
+    }
     return [...reports.values()];
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {GatewayPeers} from './gateway_peers.js';
 import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
+import {NeighbourNotices} from './neighbour_notices.js';
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
@@ -35,6 +36,7 @@
 import type {GatewayConfig, GatewayMember, WireFormat} from './types.js';
 import {UpstreamPaths} from './upstream_paths.js';
 import {UpstreamRegistry} from './upstream_registry.js';
+import {UpstreamStatements} from './upstream_statements.js';
 import {UsageExchange} from './usage_exchange.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -132,6 +134,16 @@
       [quotaLedger, this.dispatcher.rateLimiter.ledger],
       this.configState,
     );
+    const upstreamPaths = new UpstreamPaths({
+      clock,
+      log,
+      members,
+      connect,
+      random: Math.random,
+      addresses: () => this.upstreams.addresses,
+      isDeclined: address => this.upstreams.isLeavingAt(address),
+      isStopping: () => this.isStopping,
+    });
     this.context = {
       settings,
       clock,
@@ -148,18 +160,20 @@
         log,
         settings.memberId,
         this.upstreamLimits,
-        instanceId => dispatchClient.reportLimit(instanceId),
+        instanceId => dispatchClient.reportNow(instanceId),
       ),
-      upstreamPaths: new UpstreamPaths({
-        clock,
-        log,
-        members,
-        connect,
-        random: Math.random,
-        addresses: () => this.upstreams.addresses,
-        isStopping: () => this.isStopping,
-      }),
+      upstreamPaths,
       upstreams: this.upstreams,
+      upstreamStatements: new UpstreamStatements(
+        log,
+        this.upstreams,
+        upstreamPaths,
+        new NeighbourNotices(log, members, network),
+        instanceId => {
+          this.dispatcher.setUpstreams(this.upstreams.byService);
+          dispatchClient.reportNow(instanceId);
+        },
+      ),
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
       metrics: this.metrics,
@@ -190,6 +204,7 @@
       usageExchange: this.usageExchange,
       crashGuard: this.context.crashGuard,
       streamOrigins: this.context.streamOrigins,
+      upstreamStatements: this.context.upstreamStatements,
       whenConfigured: () => this.whenConfigured(),
     });
     await this.network.listen({...this.peers.handlers, ...handlers});
@@ -224,7 +239,7 @@
   /** Replaces the registered upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
-    this.dispatcher.setUpstreams(upstreams);
+    this.dispatcher.setUpstreams(this.upstreams.byService);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
     this.notifyConfigured();
   }
@@ -354,6 +369,8 @@
     gauge('members_suspected', '', this.members.suspectedMembers.length);
     gauge('crash_causes', '', this.context.crashGuard.causes.length);
     gauge('upstreams_limited', '', this.context.limitObserver.limitedCount);
+    const {leavingButListed} = this.upstreams;
+    gauge('upstreams_leaving_told', '', leavingButListed.length);
     const {upstreamPaths} = this.context;
     gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
     gauge('tunnels_open', '', upstreamPaths.tunnels.count);
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -11,6 +11,7 @@
 import type {WireFormat} from './types.js';
 import type {UpstreamPaths} from './upstream_paths.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
+import type {UpstreamStatements} from './upstream_statements.js';
 
 /** Dependencies shared by all requests of a gateway. */
 export interface GatewayContext {
@@ -28,6 +29,7 @@
   readonly streamOrigins: StreamOriginDirectory;
   readonly upstreamPaths: UpstreamPaths;
   readonly upstreams: UpstreamRegistry;
+  readonly upstreamStatements: UpstreamStatements;
   readonly random: () => number;
   /**
    * Resolves once configuration and upstreams are loaded, at the latest after
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -5,6 +5,7 @@
   RUN_END,
 } from '@fescuespool/scheduling';
 import {z} from 'zod';
+import {MAX_LEAVING_REPORTED} from './constants.js';
 
 const ID = z.string().max(256);
 const COUNT = z.number().int().min(0);
@@ -93,15 +94,39 @@
   ageMs: MILLISECONDS,
 });
 
+/** A life of an upstream that says it leaves. */
+const LEAVING = z.object({
+  instanceId: ID,
+  startedAtUnixMs: z.number().nullable(),
+});
+
+/**
+ * Params of the notice to a neighbour of what an upstream said at the end of its
+ * tunnel.
+ */
+export const UPSTREAM_NOTICE_SCHEMA = z.object({
+  senderId: ID,
+  instanceId: ID,
+  startedAtUnixMs: z.number().nullable(),
+  isLeaving: z.boolean().default(false),
+});
+
+/** What an upstream said at the end of a neighbour's tunnel. */
+export type UpstreamNotice = z.infer<typeof UPSTREAM_NOTICE_SCHEMA>;
+
+/** Answer to that notice. */
+export const NOTICE_TAKEN_SCHEMA = z.literal(true);
+
 /**
  * Params of an entry's periodic list of running requests of a service, and of
- * what its upstreams told the entry about their rate limits.
+ * what its upstreams told the entry about their rate limits and their leaving.
  */
 export const REPORT_SCHEMA = z.object({
   service: ID,
   entryId: ID,
   runs: z.array(z.object({requestId: ID, instanceId: ID})).max(MAX_RUNS),
   limits: z.array(LIMIT_STATEMENT).max(MAX_LIMITED_UPSTREAMS).default([]),
+  leaving: z.array(LEAVING).max(MAX_LEAVING_REPORTED).default([]),
 });
 
 /** An entry's list of running requests of a service. */
--- a/packages/gateway/src/neighbour_tunnels.ts
+++ b/packages/gateway/src/neighbour_tunnels.ts
@@ -15,6 +15,9 @@
 import {chooseNeighbours} from './neighbour_choice.js';
 import type {GatewayMember} from './types.js';
 
+/** Answer of a neighbour that was asked for a tunnel. */
+export type NeighbourAnswer = TunnelResult & {readonly via: GatewayMember};
+
 /** Asks neighbours for tunnels to upstreams that this gateway can't reach. */
 export class NeighbourTunnels {
   /** Neighbours that could not help recently, which are asked last. */
@@ -33,9 +36,9 @@
    * Asks several neighbours, each a little later than the one before; returns the
    * first tunnel, else the best answer, or null if there is nobody to ask.
    */
-  async open(address: string): Promise<TunnelResult | null> {
-    const attempts: Promise<TunnelResult>[] = [];
-    let open: TunnelResult | null = null;
+  async open(address: string): Promise<NeighbourAnswer | null> {
+    const attempts: Promise<NeighbourAnswer>[] = [];
+    let open: NeighbourAnswer | null = null;
     let unreachable = 0;
     for (const neighbour of this.candidates()) {
       const attempt = this.ask(neighbour, address);
@@ -73,9 +76,10 @@
   }
 
   private async ask(
-    {id, tunnelAddress}: GatewayMember,
+    neighbour: GatewayMember,
     address: string,
-  ): Promise<TunnelResult> {
+  ): Promise<NeighbourAnswer> {
+    const {id, tunnelAddress} = neighbour;
     const peer = splitAddress(tunnelAddress ?? '');
     const result = await openTunnel(peer, address, TUNNEL_TIMEOUT_MS);
     if (result.kind === 'unavailable') {
@@ -83,7 +87,7 @@
       const {cause} = result;
       this.log.info('tunnel_not_opened', {via: id, address, cause});
     }
-    return result;
+    return {...result, via: neighbour};
   }
 }
 
@@ -92,8 +96,8 @@
  * without any attempt.
  */
 function bestOf(
-  attempts: readonly Promise<TunnelResult>[],
-): Promise<TunnelResult | null> {
+  attempts: readonly Promise<NeighbourAnswer>[],
+): Promise<NeighbourAnswer | null> {
   return new Promise(resolve => {
     for (const attempt of attempts) {
       void attempt.then(result => {
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -14,9 +14,11 @@
   STARTED_SCHEMA,
   STREAM_BEGAN_SCHEMA,
   STREAM_ORIGIN_SCHEMA,
+  UPSTREAM_NOTICE_SCHEMA,
   USAGE_REPORT_SCHEMA,
 } from './messages.js';
 import type {StreamOriginDirectory} from './stream_origin_directory.js';
+import type {UpstreamStatements} from './upstream_statements.js';
 import type {UsageExchange} from './usage_exchange.js';
 
 /** Parts of a gateway that its peers access through RPC. */
@@ -25,6 +27,7 @@
   readonly usageExchange: UsageExchange;
   readonly crashGuard: CrashGuard;
   readonly streamOrigins: StreamOriginDirectory;
+  readonly upstreamStatements: UpstreamStatements;
   /**
    * Resolves once configuration and upstreams are loaded, at the latest after
    * MAX_STARTUP_WAIT_MS.
@@ -36,8 +39,8 @@
 export function createPeerHandlers(
   dependencies: PeerHandlerDependencies,
 ): PeerHandlers {
-  const {dispatcher, usageExchange, crashGuard, streamOrigins, whenConfigured} =
-    dependencies;
+  const {dispatcher, usageExchange, crashGuard, streamOrigins} = dependencies;
+  const {upstreamStatements, whenConfigured} = dependencies;
   return {
     [GATEWAY_METHOD.PING]: () => true,
     [GATEWAY_METHOD.GRANT]: withValidatedParams(
@@ -59,8 +62,18 @@
       ENDED_SCHEMA,
       ({service, report}) => dispatcher.recordEnd(service, report),
     ),
-    [GATEWAY_METHOD.REPORT]: withValidatedParams(REPORT_SCHEMA, report =>
-      dispatcher.reconcile(report),
+    [GATEWAY_METHOD.REPORT]: withValidatedParams(REPORT_SCHEMA, report => {
+      for (const life of report.leaving) {
+        upstreamStatements.adoptLeaving(life, report.entryId);
+      }
+      dispatcher.reconcile(report);
+    }),
+    [GATEWAY_METHOD.UPSTREAM_NOTICE]: withValidatedParams(
+      UPSTREAM_NOTICE_SCHEMA,
+      notice => {
+        upstreamStatements.adoptNotice(notice);
+        return true;
+      },
     ),
     [GATEWAY_METHOD.USAGE]: withValidatedParams(USAGE_REPORT_SCHEMA, report =>
       usageExchange.handleUsageReport(report),
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -95,15 +95,7 @@
         if (this.sendErrorResponse()) return;
         throw placed;
       }
-      const {upstreams} = this.gateway;
-      if (upstreams.isLeaving(placed.upstream)) {
-        this.returnGrant(placed, RUN_END.LEAVING);
-        continue;
-      }
-      if (upstreams.isReplaced(placed.upstream)) {
-        this.returnGrant(placed, RUN_END.REPLACED);
-        continue;
-      }
+      if (this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
@@ -153,11 +145,18 @@
       this.returnGrant(placement, RUN_END.CANCELLED);
       throw this.createNotResumableRefusal();
     }
-    const {wireFormat, upstreamPaths, log} = this.gateway;
+    const {wireFormat, upstreamPaths, upstreamStatements, log} = this.gateway;
     const {signal} = this.request.timer;
-    const life = await checkLife(upstream, wireFormat, upstreamPaths, signal);
-    if (life === 'same') return true;
     const {requestId} = this.request.head;
+    const life = await checkLife(
+      upstream,
+      wireFormat,
+      upstreamPaths,
+      signal,
+      (head, socket) =>
+        upstreamStatements.recordResponse({upstream, head, socket, requestId}),
+    );
+    if (life === 'same') return !this.returnUnusable(placement);
     log.warn('upstream_life_unconfirmed', {
       id: requestId,
       upstream: upstream.instanceId,
@@ -261,6 +260,21 @@
     return answer.placement;
   }
 
+  /** Returns a grant whose upstream is known here to be leaving or replaced. */
+  private returnUnusable(placement: Placement): boolean {
+    const {upstreams} = this.gateway;
+    const {upstream} = placement;
+    if (upstreams.isLeaving(upstream)) {
+      this.returnGrant(placement, RUN_END.LEAVING);
+      return true;
+    }
+    if (upstreams.isReplaced(upstream)) {
+      this.returnGrant(placement, RUN_END.REPLACED);
+      return true;
+    }
+    return false;
+  }
+
   /**
    * Returns a grant unused: its upstream is leaving, which the dispatcher did not
    * know yet, or the request may not be sent any more.
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -113,6 +113,8 @@
   readonly isNotRun: boolean;
   /** Whether the address now belongs to another upstream instance. */
   readonly isInstanceMismatch: boolean;
+  /** Whether the upstream says that it leaves and wants no new requests. */
+  readonly isLeaving: boolean;
   readonly load: ReportedLoad | null;
   readonly limits: NamedLimits;
 }
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -129,20 +129,26 @@
     ).then(result => {
       if (result.kind !== 'answered') return result;
       this.reportedLoad = result.head.load;
-      this.recordLimit(result.head);
+      this.recordStatements(result.head, result.exchange);
       return result;
     });
   }
 
-  /** Records what the response head says of the upstream's limits. */
-  private recordLimit(head: UpstreamResponseHead): void {
+  /** Records what the response head says of the upstream. */
+  private recordStatements(
+    head: UpstreamResponseHead,
+    {res: {socket}}: HttpExchange,
+  ): void {
     // Another upstream at the same address sent it, or it is a late response.
     if (head.isInstanceMismatch || this.isForOtherRequest(head)) return;
     const {requestId} = this.request.head;
-    this.gateway.limitObserver.recordResponse(this.placement, head.limits, {
+    const {limitObserver, upstreamStatements} = this.gateway;
+    limitObserver.recordResponse(this.placement, head.limits, {
       requestId,
       sentAtMs: this.sentAtMs,
     });
+    const {upstream} = this.placement;
+    upstreamStatements.recordResponse({upstream, head, socket, requestId});
   }
 
   private isForOtherRequest({requestId}: UpstreamResponseHead): boolean {
--- a/packages/gateway/src/upstream_life.ts
+++ b/packages/gateway/src/upstream_life.ts
@@ -1,11 +1,12 @@
 import type {UpstreamSpec} from '@fescuespool/scheduling';
 import {openExchange, readBody} from '@fescuespool/transport';
+import type {Socket} from 'node:net';
 import {
   ANY_PATH_TIMEOUT_MS,
   LIFE_CHECK_TIMEOUT_MS,
   MAX_LIFE_RESPONSE_BYTES,
 } from './constants.js';
-import type {WireFormat} from './types.js';
+import type {UpstreamResponseHead, WireFormat} from './types.js';
 import type {UpstreamPaths} from './upstream_paths.js';
 
 const OK = 200;
@@ -31,9 +32,11 @@
  */
 export async function checkLife(
   upstream: UpstreamSpec,
-  {startTimePath, parseStartTime}: WireFormat,
+  {startTimePath, parseStartTime, parseResponse}: WireFormat,
   paths: UpstreamPaths,
   signal: AbortSignal,
+  /** Called with the response head if the life is the same. */
+  onResponse: (head: UpstreamResponseHead, socket: Socket) => void,
 ): Promise<LifeCheck> {
   if (startTimePath === null || upstream.startedAtUnixMs === null) {
     return 'same';
@@ -48,12 +51,15 @@
   });
   if (opened.isErr()) return opened.error.isTimeout ? 'silent' : 'unreachable';
   const {res} = opened.value;
+  const {statusCode = 0, headers, socket} = res;
   try {
     const body = await readBody(res, MAX_LIFE_RESPONSE_BYTES);
     // Some kinds of upstreams don't tell.
-    if (res.statusCode !== OK) return 'same';
-    const startedAtUnixMs = parseStartTime(body.toString());
-    return compareLives(upstream.startedAtUnixMs, startedAtUnixMs);
+    const startedAtUnixMs =
+      statusCode === OK ? parseStartTime(body.toString()) : null;
+    const life = compareLives(upstream.startedAtUnixMs, startedAtUnixMs);
+    if (life === 'same') onResponse(parseResponse(statusCode, headers), socket);
+    return life;
   } catch {
     opened.value.abort();
     return 'unreachable';
--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -25,6 +25,7 @@
 import type {MemberDirectory} from './member_directory.js';
 import {NeighbourTunnels} from './neighbour_tunnels.js';
 import {PathState} from './path_state.js';
+import type {GatewayMember} from './types.js';
 
 /** Dependencies of `UpstreamPaths`. */
 export interface UpstreamPathsOptions {
@@ -35,19 +36,30 @@
   readonly random: () => number;
   /** Addresses of the registered upstreams. */
   readonly addresses: () => ReadonlySet<string>;
+  /** Whether nothing may be sent to an address for a neighbour. */
+  readonly isDeclined: (address: string) => boolean;
   /** Whether this gateway is shutting down, so that it opens no tunnels. */
   readonly isStopping: () => boolean;
 }
 
 /** A connection to an upstream. */
-interface OpenConnection {
-  readonly kind: 'direct' | 'tunnelled';
-  readonly socket: Socket;
-}
+type OpenConnection =
+  | {readonly kind: 'direct'; readonly socket: Socket}
+  | {
+      readonly kind: 'tunnelled';
+      readonly socket: Socket;
+      readonly via: GatewayMember;
+    };
 
 /** Result of connecting to an upstream on any path. */
 type Connection =
-  OpenConnection | {readonly kind: 'failed'; readonly error: PathError};
+  | OpenConnection
+  | {
+      readonly kind: 'failed';
+      readonly error: PathError;
+      /** Whether a neighbour sends nothing to the upstream at the moment. */
+      readonly isDeclined: boolean;
+    };
 
 /**
  * Connects to upstreams: directly, or through the tunnel of a neighbour where
@@ -61,7 +73,8 @@
   private readonly pooledAgent: Agent;
   private readonly singleUseAgent: Agent;
   private readonly neighbours: NeighbourTunnels;
-  private readonly tunnelledSockets = new WeakSet<Socket>();
+  /** Neighbours whose tunnels connections go through. */
+  private readonly neighboursBySocket = new WeakMap<Socket, GatewayMember>();
   private readonly timer: NodeJS.Timeout;
   private wasCutOff = false;
 
@@ -69,8 +82,10 @@
     const open = async (args: TcpNetConnectOpts): Promise<Socket> => {
       const connection = await this.connect(args);
       if (connection.kind === 'failed') throw connection.error;
-      const {kind, socket} = connection;
-      if (kind === 'tunnelled') this.tunnelledSockets.add(socket);
+      const {socket} = connection;
+      if (connection.kind === 'tunnelled') {
+        this.neighboursBySocket.set(socket, connection.via);
+      }
       return socket;
     };
     this.pooledAgent = new UpstreamAgent(
@@ -78,7 +93,7 @@
       MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
       open,
       // A neighbour that stops waits for the tunnels that are open.
-      socket => !this.tunnelledSockets.has(socket),
+      socket => !this.neighboursBySocket.has(socket),
     );
     this.singleUseAgent = new SingleUseAgent(open);
     const {members, log, random} = options;
@@ -86,6 +101,7 @@
     this.tunnels = new TunnelServer({
       refusalFor: address => {
         if (!options.addresses().has(address)) return TUNNEL_STATUS.FORBIDDEN;
+        if (options.isDeclined(address)) return TUNNEL_STATUS.DECLINED;
         const isFull = this.tunnels.count > MAX_TUNNELS;
         const canHelp = !isFull && !options.isStopping();
         if (canHelp && !this.state.isLost(address)) return null;
@@ -120,10 +136,18 @@
     return isPooled ? this.pooledAgent : this.singleUseAgent;
   }
 
-  /** Whether an upstream accepts connections, on any path. */
+  /** Neighbour through whose tunnel a connection goes; null if it is direct. */
+  neighbourOf(socket: Socket): GatewayMember | null {
+    return this.neighboursBySocket.get(socket) ?? null;
+  }
+
+  /**
+   * Whether an upstream accepts connections, on any path. A neighbour that sends
+   * nothing there at the moment counts as one that could connect.
+   */
   async accepts(address: string): Promise<boolean> {
     const connection = await this.connect(splitAddress(address));
-    if (connection.kind === 'failed') return false;
+    if (connection.kind === 'failed') return connection.isDeclined;
     connection.socket.destroy();
     return true;
   }
@@ -178,7 +202,7 @@
       }),
       this.neighbours.open(address).then((result): OpenConnection => {
         if (result?.kind !== 'open') throw new Error('no tunnel was opened');
-        return {kind: 'tunnelled', socket: result.socket};
+        return {kind: 'tunnelled', socket: result.socket, via: result.via};
       }),
     ];
     const first = await firstOf(openings, ({socket}) => socket.destroy());
@@ -189,7 +213,8 @@
     }
     if (first) return first;
     const {message} = (await direct) as Error;
-    return {kind: 'failed', error: new PathError(message, false)};
+    const error = new PathError(message, false);
+    return {kind: 'failed', error, isDeclined: false};
   }
 
   private async connectThroughNeighbour(
@@ -198,12 +223,13 @@
   ): Promise<Connection> {
     const tunnel = await this.neighbours.open(address);
     if (tunnel?.kind === 'open') {
-      return {kind: 'tunnelled', socket: tunnel.socket};
+      return {kind: 'tunnelled', socket: tunnel.socket, via: tunnel.via};
     }
     const socket = await this.tryDirect(args, UPSTREAM_CONNECT_TIMEOUT_MS);
     if (isSocket(socket)) return {kind: 'direct', socket};
     const isOwnFault = tunnel?.kind !== 'unreachable';
-    return {kind: 'failed', error: new PathError(socket.message, isOwnFault)};
+    const error = new PathError(socket.message, isOwnFault);
+    return {kind: 'failed', error, isDeclined: tunnel?.kind === 'declined'};
   }
 
   private tryDirect(
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -1,18 +1,34 @@
-import type {UpstreamSpec} from '@fescuespool/scheduling';
+import type {UpstreamLife, UpstreamSpec} from '@fescuespool/scheduling';
+import {upstreamLifeKey} from '@fescuespool/scheduling';
 import {LRUCache} from 'lru-cache';
-import {MAX_REMOVED_UPSTREAMS} from './constants.js';
+import {MAX_LEAVING_TOLD, MAX_REMOVED_UPSTREAMS} from './constants.js';
 import type {UpstreamsByService} from './dispatcher.js';
 import {VersionHistory} from './stream_origin.js';
 
 /** Sorts an upstream behind those that have not been used yet. */
 const CONNECTION_FAILED = -1;
 
-/** Tracks the currently registered upstreams and recently removed ones. */
+/** A life of an upstream that said it leaves, with its service. */
+export interface LeavingUpstream extends UpstreamLife {
+  readonly service: string;
+}
+
+/**
+ * Tracks the currently registered upstreams, recently removed ones, and those
+ * that said they leave, whatever their entries say.
+ */
 export class UpstreamRegistry {
   private readonly byId = new Map<string, UpstreamSpec>();
   /** Software versions of the services. */
   readonly versions = new VersionHistory();
   private registeredAddresses: ReadonlySet<string> = new Set();
+  /** Addresses at which only leaving upstreams are registered. */
+  private leavingAddresses: ReadonlySet<string> = new Set();
+  /** The registered upstreams as their entries list them. */
+  private listed: UpstreamsByService = new Map();
+  /** The same, where those that said they leave are marked. */
+  private registered: UpstreamsByService = new Map();
+  private unlistedLeaving: readonly LeavingUpstream[] = [];
   private readonly serviceById = new Map<string, string>();
   /**
    * Monotonic milliseconds of each upstream's last complete response, or
@@ -22,6 +38,10 @@
   private readonly removed = new LRUCache<string, true>({
     max: MAX_REMOVED_UPSTREAMS,
   });
+  /** Lives that said they leave. */
+  private readonly leavingTold = new LRUCache<string, true>({
+    max: MAX_LEAVING_TOLD,
+  });
 
   /** Whether no upstream is registered. */
   get isEmpty(): boolean {
@@ -33,23 +53,24 @@
     return this.registeredAddresses;
   }
 
+  /** The registered upstreams; those that said they leave are marked. */
+  get byService(): UpstreamsByService {
+    return this.registered;
+  }
+
+  /** Registered upstreams that said they leave but are not listed so. */
+  get leavingButListed(): readonly LeavingUpstream[] {
+    return this.unlistedLeaving;
+  }
+
   /**
    * Replaces the registered upstreams and remembers those that were removed, at a
    * monotonic time in milliseconds.
    */
   replace(upstreams: UpstreamsByService, nowMs: number): void {
     const previousIds = [...this.byId.keys()];
-    this.byId.clear();
-    this.serviceById.clear();
-    for (const [service, specs] of upstreams) {
-      for (const spec of specs) {
-        this.byId.set(spec.instanceId, spec);
-        this.serviceById.set(spec.instanceId, service);
-      }
-    }
-    this.registeredAddresses = new Set(
-      [...this.byId.values()].map(({address}) => address),
-    );
+    this.listed = upstreams;
+    this.markLeaving();
     this.versions.record(
       new Map(
         [...upstreams].map(([service, specs]) => [
@@ -66,6 +87,28 @@
     }
   }
 
+  /**
+   * Records that a life of an upstream said it leaves; false if that is known. A
+   * later life under its id is not affected.
+   */
+  recordLeaving(life: UpstreamLife): boolean {
+    const key = upstreamLifeKey(life);
+    if (this.leavingTold.get(key)) return false;
+    this.leavingTold.set(key, true);
+    this.markLeaving();
+    return true;
+  }
+
+  /** Whether a life of an upstream has said that it leaves. */
+  hasSaidLeaving(life: UpstreamLife): boolean {
+    return this.leavingTold.has(upstreamLifeKey(life));
+  }
+
+  /** Whether all upstreams registered at an address are leaving. */
+  isLeavingAt(address: string): boolean {
+    return this.leavingAddresses.has(address);
+  }
+
   /** Service of a registered upstream; undefined for others. */
   serviceOf(instanceId: string): string | undefined {
     return this.serviceById.get(instanceId);
@@ -85,8 +128,14 @@
    * Whether an upstream is leaving or was removed. False for one that was never
    * registered here, as it may be newer than this member's list.
    */
-  isLeaving({instanceId}: UpstreamSpec): boolean {
-    return this.byId.get(instanceId)?.isLeaving ?? this.removed.has(instanceId);
+  isLeaving(spec: UpstreamSpec): boolean {
+    if (this.hasSaidLeaving(spec)) return true;
+    const {instanceId, startedAtUnixMs} = spec;
+    const registered = this.byId.get(instanceId);
+    if (!registered) return this.removed.has(instanceId);
+    const isEarlierLife =
+      (registered.startedAtUnixMs ?? 0) < (startedAtUnixMs ?? 0);
+    return registered.isLeaving && !isEarlierLife;
   }
 
   /**
@@ -115,4 +164,37 @@
       .sort((a, b) => lastMs(b) - lastMs(a))
       .slice(0, limit);
   }
+
+  /** Marks the listed upstreams that said they leave. */
+  private markLeaving(): void {
+    this.byId.clear();
+    this.serviceById.clear();
+    const registered = new Map<string, UpstreamSpec[]>();
+    const unlisted: LeavingUpstream[] = [];
+    for (const [service, specs] of this.listed) {
+      const marked = specs.map(spec => {
+        // Keeps it among the lives that were asked for last.
+        const isTold = this.leavingTold.get(upstreamLifeKey(spec)) === true;
+        if (!isTold || spec.isLeaving) return spec;
+        const {instanceId, startedAtUnixMs} = spec;
+        unlisted.push({service, instanceId, startedAtUnixMs});
+        return {...spec, isLeaving: true};
+      });
+      registered.set(service, marked);
+      for (const spec of marked) {
+        this.byId.set(spec.instanceId, spec);
+        this.serviceById.set(spec.instanceId, service);
+      }
+    }
+    this.registered = registered;
+    this.unlistedLeaving = unlisted;
+    const all = [...this.byId.values()];
+    this.registeredAddresses = new Set(all.map(({address}) => address));
+    const leaving = all.filter(({isLeaving}) => isLeaving);
+    const leavingAddresses = new Set(leaving.map(({address}) => address));
+    for (const {address, isLeaving} of all) {
+      if (!isLeaving) leavingAddresses.delete(address);
+    }
+    this.leavingAddresses = leavingAddresses;
+  }
 }
--- a/packages/transport/src/constants.ts
+++ b/packages/transport/src/constants.ts
@@ -26,6 +26,8 @@
   OPEN: 200,
   /** The target is not one to which tunnels are permitted. */
   FORBIDDEN: 403,
+  /** This member sends nothing to the target at the moment. */
+  DECLINED: 409,
   /** The target can't be reached from here either. */
   UNREACHABLE: 502,
   /** This member can't help at the moment. */
--- a/packages/transport/src/tunnel_client.ts
+++ b/packages/transport/src/tunnel_client.ts
@@ -7,6 +7,8 @@
   | {readonly kind: 'open'; readonly socket: Socket}
   /** The peer can't reach the target either. */
   | {readonly kind: 'unreachable'}
+  /** The peer sends nothing to the target at the moment. */
+  | {readonly kind: 'declined'}
   /** The peer did not answer in time, or refused. */
   | {readonly kind: 'unavailable'; readonly cause: string};
 
@@ -42,12 +44,7 @@
         return;
       }
       socket.destroy();
-      const isUnreachable = statusCode === TUNNEL_STATUS.UNREACHABLE;
-      resolve(
-        isUnreachable
-          ? {kind: 'unreachable'}
-          : {kind: 'unavailable', cause: `status ${statusCode}`},
-      );
+      resolve(resultOf(statusCode));
     });
     req.once('error', ({message}) => {
       clearTimeout(timer);
@@ -56,3 +53,10 @@
     req.end();
   });
 }
+
+/** Result of a tunnel that was not opened. */
+function resultOf(status: number | undefined): TunnelResult {
+  if (status === TUNNEL_STATUS.UNREACHABLE) return {kind: 'unreachable'};
+  if (status === TUNNEL_STATUS.DECLINED) return {kind: 'declined'};
+  return {kind: 'unavailable', cause: `status ${status}`};
+}
