Merge upstreams that say they leave

Brings: Server-Leaving decoded once, kept for a life of the upstream whatever its entry says, reported to the queue's owner and to neighbours whose tunnels carried it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,24 +13,25 @@
   CONFIG_AGE_MARGIN_MS,
   DEREGISTRATION_DELAY_MS,
   MAX_HEADER_BYTES,
-  MAX_STARTUP_WAIT_MS,
   STOP_MARGIN_MS,
-  USAGE_HUB_KEY,
 } from './constants.js';
 import {CrashGuard} from './crash_guard.js';
 import {DispatchClient} from './dispatch_client.js';
 import type {UpstreamsByService} from './dispatcher.js';
 import {Dispatcher} from './dispatcher.js';
 import type {GatewayContext} from './gateway_context.js';
+import {updateGauges} from './gateway_gauges.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
+import {NeighbourNotices} from './neighbour_notices.js';
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
+import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StreamArchive} from './stream_archive.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
@@ -42,6 +43,7 @@
 } from './types.js';
 import {UpstreamPaths} from './upstream_paths.js';
 import {UpstreamRegistry} from './upstream_registry.js';
+import {UpstreamStatements} from './upstream_statements.js';
 import {UsageExchange} from './usage_exchange.js';
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -94,7 +96,9 @@
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
   private readonly upstreamLimits = new UpstreamLimits();
-  private readonly configuredListeners = new Set<() => void>();
+  private readonly startupGate = new StartupGate(
+    () => this.configState.current !== null && !this.upstreams.isEmpty,
+  );
   private isStopping = false;
 
   constructor(private readonly options: GatewayOptions) {
@@ -148,6 +152,16 @@
       options.streamStore,
       () => members.allMembers.length,
     );
+    const upstreamPaths = new UpstreamPaths({
+      clock,
+      log,
+      members,
+      connect,
+      random: Math.random,
+      addresses: () => this.upstreams.addresses,
+      isDeclined: address => this.upstreams.isLeavingAt(address),
+      isStopping: () => this.isStopping,
+    });
     this.context = {
       settings,
       clock,
@@ -170,19 +184,21 @@
         log,
         settings.memberId,
         this.upstreamLimits,
-        instanceId => dispatchClient.reportLimit(instanceId),
+        instanceId => dispatchClient.reportNow(instanceId),
       ),
-      upstreamPaths: new UpstreamPaths({
-        clock,
-        log,
-        members,
-        connect,
-        random: Math.random,
-        addresses: () => this.upstreams.addresses,
-        isStopping: () => this.isStopping,
-      }),
+      upstreamPaths,
       upstreams: this.upstreams,
-      whenConfigured: () => this.whenConfigured(),
+      upstreamStatements: new UpstreamStatements(
+        log,
+        this.upstreams,
+        upstreamPaths,
+        new NeighbourNotices(log, members, network),
+        instanceId => {
+          this.dispatcher.setUpstreams(this.upstreams.byService);
+          dispatchClient.reportNow(instanceId);
+        },
+      ),
+      whenConfigured: () => this.startupGate.whenOpen(),
       random: Math.random,
       metrics: this.metrics,
     };
@@ -208,7 +224,7 @@
       isReady => this.logReadiness(isReady),
     );
     this.metricsServer = createMetricsServer(this.metrics, () =>
-      this.setGauges(),
+      updateGauges(this.context, this.dispatcher),
     );
   }
 
@@ -220,7 +236,8 @@
       usageExchange: this.usageExchange,
       crashGuard: this.context.crashGuard,
       streamOrigins: this.context.streamOrigins,
-      whenConfigured: () => this.whenConfigured(),
+      upstreamStatements: this.context.upstreamStatements,
+      whenConfigured: () => this.startupGate.whenOpen(),
     });
     await this.network.listen({...this.peers.handlers, ...handlers});
     await listenOn(this.callerHttpServer, settings.callerAddress);
@@ -246,7 +263,7 @@
     for (const {name, quota} of cfg.accountsByKey.values()) {
       if (quota) this.context.quotaLedger.openBucket(name, quota, now);
     }
-    this.notifyConfigured();
+    this.startupGate.check();
     this.idleConnections.setLimit(cfg.limits.idleTimeoutMs);
     this.callerHttpServer.headersTimeout = cfg.limits.headTimeoutMs;
   }
@@ -254,9 +271,9 @@
   /** Replaces the registered upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
-    this.dispatcher.setUpstreams(upstreams);
+    this.dispatcher.setUpstreams(this.upstreams.byService);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
-    this.notifyConfigured();
+    this.startupGate.check();
   }
 
   /**
@@ -357,27 +374,6 @@
     this.context.upstreamPaths.close();
   }
 
-  private get isConfigured(): boolean {
-    return this.configState.current !== null && !this.upstreams.isEmpty;
-  }
-
-  private async whenConfigured(): Promise<void> {
-    if (this.isConfigured) return;
-    let listener: () => void = () => undefined;
-    const configured = new Promise<void>(resolve => {
-      listener = resolve;
-      this.configuredListeners.add(listener);
-    });
-    await Promise.race([configured, sleep(MAX_STARTUP_WAIT_MS)]);
-    this.configuredListeners.delete(listener);
-  }
-
-  private notifyConfigured(): void {
-    if (!this.isConfigured) return;
-    for (const listener of this.configuredListeners) listener();
-    this.configuredListeners.clear();
-  }
-
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
@@ -387,20 +383,4 @@
       configAgeMs: Math.round(this.configState.ageMs),
     });
   }
-
-  private setGauges(): void {
-    const {setGauge: gauge} = this.metrics;
-    for (const {service, waiting, running} of this.dispatcher.queueStats()) {
-      gauge('queue_waiting', service, waiting);
-      gauge('queue_running', service, running);
-    }
-    gauge('config_version', '', this.configState.current?.version ?? 0);
-    gauge('members_suspected', '', this.members.suspectedMembers.length);
-    gauge('crash_causes', '', this.context.crashGuard.causes.length);
-    gauge('upstreams_limited', '', this.context.limitObserver.limitedCount);
-    const {upstreamPaths} = this.context;
-    gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
-    gauge('tunnels_open', '', upstreamPaths.tunnels.count);
-    gauge('usage_hub', '', this.members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
-  }
 }
