Send nothing to an upstream while it asks this gateway for a pause

What callers saw: an upstream that turns requests away with 503 and a Retry-After went on to get them from the same gateway. Each cost its request a send and a retry of the budget, and where it was the only one of its service, callers were refused after up to nine rejections.

Cause: Retry-After of upstreams was not decoded; a rejection made the queue take the upstream as full for 200 ms.

Change: decoded in wire_headers.ts, for 503 only, numbers only (a date asks for nothing), at most MAX_PAUSE_MS. A gateway keeps the pause for that life of the upstream, returns grants for it, and names it in its run reports. The queue does not grant it to requests of that gateway: they go elsewhere, or wait for the end of the first pause without holding up those of others, or are refused with the rest of the pause as Retry-After. Statements in the run report rather than `excluded` of the grant request: they reach requests that already wait, and the chooser falls back to excluded upstreams. The estimates count held requests for their own gateway only. A returned grant is followed by a wait of 25 ms, doubled each time, as the owner may be of an earlier release. A 503 that has run pauses too; its caller gets 502 as before. An answer through a tunnel counts for the neighbour, which is told and declines tunnels, and for the gateway that has the request, whose own path is lost then and whose requests would go on to other neighbours. The check of a stream's upstream (its start time) is heeded as well, and not asked meanwhile.

The address check of the registry moved to UpstreamStatements.declines, and its test with it (upstream_statements.test.ts, which also has the pauses).

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -302,6 +302,21 @@
  */
 export const MAX_REMOVED_UPSTREAMS = 4_096;
 
+/** Number of upstreams that a grant request may exclude. */
+export const MAX_EXCLUDED_UPSTREAMS = 64;
+
+/**
+ * Time in milliseconds by which a pause that an upstream asks for must be longer
+ * than known to be reported at once.
+ */
+export const MIN_PAUSE_CHANGE_MS = 100;
+
+/**
+ * First time in milliseconds to wait after a grant was returned because its
+ * upstream is paused; it doubles, as the dispatcher may not know of pauses.
+ */
+export const PAUSED_GRANT_DELAY_MS = 25;
+
 /** Number of upstreams that one run report names as leaving. */
 export const MAX_LEAVING_REPORTED = 1_024;
 
--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -266,6 +266,7 @@
         runs: [],
         limits: [],
         leaving: [],
+        pauses: [],
       };
       reports.set(service, report);
       return report;
@@ -281,6 +282,13 @@
       const ageMs = Math.round(now - statedAtMs);
       reportOf(service).limits.push({...statement, ageMs});
     }
+    for (const pause of this.dispatcher.pauses.pausesOf(entryId, now)) {
+      const {untilMs, ...life} = pause;
+      const service = this.upstreams.serviceOf(life.instanceId);
+      if (service === undefined) continue;
+      const leftMs = Math.ceil(untilMs - now);
+      reportOf(service).pauses.push({...life, leftMs});
+    }
     const {leavingButListed} = this.upstreams;
     for (const told of leavingButListed.slice(0, MAX_LEAVING_REPORTED)) {
       const {service, ...life} = told;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -11,6 +11,7 @@
 import {
   DispatchQueue,
   RetryBudget,
+  UpstreamPauses,
   UpstreamRateLimiter,
 } from '@fescuespool/scheduling';
 import {MAX_QUEUE_TICK_GAP_MS, QUEUE_TICK_INTERVAL_MS} from './constants.js';
@@ -25,6 +26,8 @@
  * waiting requests at the new owner when a queue moves.
  */
 export class Dispatcher {
+  /** What upstreams asked of this member and of those that report to it. */
+  readonly pauses = new UpstreamPauses();
   /** Counts the grants to limited upstreams. */
   readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
@@ -43,7 +46,7 @@
     /** Whether there are members that this one can't reach. */
     private readonly hasSuspects: () => boolean,
   ) {
-    this.rateLimiter = new UpstreamRateLimiter(upstreamLimits);
+    this.rateLimiter = new UpstreamRateLimiter(upstreamLimits, this.pauses);
     this.lastTickMs = clock.monotonicMs();
     this.timer = setInterval(() => this.tick(), QUEUE_TICK_INTERVAL_MS);
   }
@@ -85,14 +88,17 @@
   /**
    * Aligns the queue with the requests that an entry reports as running: adds
    * the missing ones and drops those that the entry no longer reports. Records
-   * the rate limits that upstreams told the entry.
+   * the rate limits that upstreams told the entry, and their pauses.
    */
-  reconcile({service, entryId, runs, limits}: RunReport): void {
+  reconcile({service, entryId, runs, limits, pauses}: RunReport): void {
     const now = this.clock.monotonicMs();
     for (const {ageMs, ...statement} of limits) {
       const statedAtMs = now - ageMs;
       this.upstreamLimits.record(entryId, {...statement, statedAtMs});
     }
+    for (const {leftMs, ...life} of pauses) {
+      this.pauses.record(entryId, {...life, untilMs: now + leftMs}, now);
+    }
     this.queueFor(service).reconcile(entryId, runs);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,7 +141,7 @@
       connect,
       random: Math.random,
       addresses: () => this.upstreams.addresses,
-      isDeclined: address => this.upstreams.isLeavingAt(address),
+      isDeclined: address => this.context.upstreamStatements.declines(address),
       isStopping: () => this.isStopping,
     });
     this.context = {
@@ -164,16 +164,20 @@
       ),
       upstreamPaths,
       upstreams: this.upstreams,
-      upstreamStatements: new UpstreamStatements(
+      upstreamStatements: new UpstreamStatements({
+        clock,
         log,
-        this.upstreams,
-        upstreamPaths,
-        new NeighbourNotices(log, members, network),
-        instanceId => {
+        memberId: settings.memberId,
+        upstreams: this.upstreams,
+        pauses: this.dispatcher.pauses,
+        paths: upstreamPaths,
+        neighbours: new NeighbourNotices(clock, log, members, network),
+        onLeaving: instanceId => {
           this.dispatcher.setUpstreams(this.upstreams.byService);
           dispatchClient.reportNow(instanceId);
         },
-      ),
+        onPause: instanceId => dispatchClient.reportNow(instanceId),
+      }),
       whenConfigured: () => this.whenConfigured(),
       random: Math.random,
       metrics: this.metrics,
@@ -371,7 +375,8 @@
     gauge('upstreams_limited', '', this.context.limitObserver.limitedCount);
     const {leavingButListed} = this.upstreams;
     gauge('upstreams_leaving_told', '', leavingButListed.length);
-    const {upstreamPaths} = this.context;
+    const {upstreamPaths, upstreamStatements} = this.context;
+    gauge('upstreams_paused', '', upstreamStatements.pausedCount);
     gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
     gauge('tunnels_open', '', upstreamPaths.tunnels.count);
     gauge('usage_hub', '', this.members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,11 +1,13 @@
 import {MAX_CRASH_CAUSES} from '@fescuespool/coordination';
 import {
   MAX_LIMITED_UPSTREAMS,
+  MAX_PAUSE_MS,
+  MAX_PAUSED_UPSTREAMS,
   QUEUE_REFUSAL,
   RUN_END,
 } from '@fescuespool/scheduling';
 import {z} from 'zod';
-import {MAX_LEAVING_REPORTED} from './constants.js';
+import {MAX_EXCLUDED_UPSTREAMS, MAX_LEAVING_REPORTED} from './constants.js';
 
 const ID = z.string().max(256);
 const COUNT = z.number().int().min(0);
@@ -29,7 +31,7 @@
     patienceLeftMs: MILLISECONDS,
     isRepeatable: z.boolean(),
     isRetry: z.boolean(),
-    excluded: z.array(ID).max(64),
+    excluded: z.array(ID).max(MAX_EXCLUDED_UPSTREAMS),
     avoidedZones: z.array(ID).max(64),
     requiredVersion: ID.nullable().default(null),
   }),
@@ -100,6 +102,16 @@
   startedAtUnixMs: z.number().nullable(),
 });
 
+/** Time for which an upstream still wants no requests from a gateway. */
+const PAUSE_LEFT = MILLISECONDS.min(0).max(MAX_PAUSE_MS);
+
+/** An upstream that wants no requests from an entry for a while. */
+const PAUSE = z.object({
+  instanceId: ID,
+  startedAtUnixMs: z.number().nullable(),
+  leftMs: PAUSE_LEFT,
+});
+
 /**
  * Params of the notice to a neighbour of what an upstream said at the end of its
  * tunnel.
@@ -109,6 +121,7 @@
   instanceId: ID,
   startedAtUnixMs: z.number().nullable(),
   isLeaving: z.boolean().default(false),
+  pauseMs: PAUSE_LEFT.nullable().default(null),
 });
 
 /** What an upstream said at the end of a neighbour's tunnel. */
@@ -119,7 +132,7 @@
 
 /**
  * Params of an entry's periodic list of running requests of a service, and of
- * what its upstreams told the entry about their rate limits and their leaving.
+ * what its upstreams told the entry: rate limits, leaving and pauses.
  */
 export const REPORT_SCHEMA = z.object({
   service: ID,
@@ -127,6 +140,7 @@
   runs: z.array(z.object({requestId: ID, instanceId: ID})).max(MAX_RUNS),
   limits: z.array(LIMIT_STATEMENT).max(MAX_LIMITED_UPSTREAMS).default([]),
   leaving: z.array(LEAVING).max(MAX_LEAVING_REPORTED).default([]),
+  pauses: z.array(PAUSE).max(MAX_PAUSED_UPSTREAMS).default([]),
 });
 
 /** An entry's list of running requests of a service. */
--- a/packages/gateway/src/neighbour_notices.ts
+++ b/packages/gateway/src/neighbour_notices.ts
@@ -1,11 +1,14 @@
-import type {Logger} from '@fescuespool/common';
+import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
+import type {UpstreamLife, UpstreamPause} from '@fescuespool/scheduling';
+import {upstreamLifeKey} from '@fescuespool/scheduling';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
 import {LRUCache} from 'lru-cache';
 import {
   GATEWAY_METHOD,
   MAX_NEIGHBOUR_NOTICES,
+  MIN_PAUSE_CHANGE_MS,
   NEIGHBOUR_NOTICE_ATTEMPTS,
   NEIGHBOUR_NOTICE_RETRY_MS,
   NEIGHBOUR_NOTICE_TIMEOUT_MS,
@@ -20,32 +23,67 @@
  * upstream, the neighbour is the sender, but it does not read what it forwards.
  */
 export class NeighbourNotices {
-  /** Notices that neighbours have or are being sent. */
-  private readonly told = new LRUCache<string, true>({
+  /**
+   * Notices that neighbours have or are being sent, with the time until which
+   * each counts, in monotonic milliseconds.
+   */
+  private readonly told = new LRUCache<string, number>({
     max: MAX_NEIGHBOUR_NOTICES,
   });
 
   constructor(
+    private readonly clock: Clock,
     private readonly log: Logger,
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
   ) {}
 
+  /** Tells a neighbour that an upstream leaves. */
+  async tellLeaving(
+    neighbour: GatewayMember,
+    {instanceId, startedAtUnixMs}: UpstreamLife,
+  ): Promise<void> {
+    const life = {instanceId, startedAtUnixMs};
+    const key = `leaving\n${neighbour.id}\n${upstreamLifeKey(life)}`;
+    await this.tellOnce(neighbour, key, Infinity, () => ({
+      ...life,
+      isLeaving: true,
+      pauseMs: null,
+    }));
+  }
+
+  /** Tells a neighbour until when an upstream wants no requests from it. */
+  async tellPause(
+    neighbour: GatewayMember,
+    {instanceId, startedAtUnixMs, untilMs}: UpstreamPause,
+  ): Promise<void> {
+    const life = {instanceId, startedAtUnixMs};
+    const key = `pause\n${neighbour.id}\n${upstreamLifeKey(life)}`;
+    await this.tellOnce(neighbour, key, untilMs, () => ({
+      ...life,
+      isLeaving: false,
+      pauseMs: Math.max(0, Math.ceil(untilMs - this.clock.monotonicMs())),
+    }));
+  }
+
   /**
-   * Sends a notice, unless the neighbour has it, until the neighbour confirms it;
-   * gives up after NEIGHBOUR_NOTICE_ATTEMPTS.
+   * Sends a notice, unless the neighbour has one that counts as long, until it is
+   * confirmed; gives up after NEIGHBOUR_NOTICE_ATTEMPTS.
    */
-  async tell(
+  private async tellOnce(
     neighbour: GatewayMember,
-    notice: Omit<UpstreamNotice, 'senderId'>,
+    key: string,
+    untilMs: number,
+    createNotice: () => Omit<UpstreamNotice, 'senderId'>,
   ): Promise<void> {
-    const key = `${neighbour.id}\n${JSON.stringify(notice)}`;
-    if (this.told.get(key)) return;
-    this.told.set(key, true);
+    const toldUntilMs = this.told.get(key) ?? -Infinity;
+    if (toldUntilMs === Infinity) return;
+    if (untilMs - toldUntilMs < MIN_PAUSE_CHANGE_MS) return;
+    this.told.set(key, untilMs);
     const senderId = this.members.localMember.id;
-    const params: UpstreamNotice = {senderId, ...notice};
     let message = '';
     for (let attempt = 1; attempt <= NEIGHBOUR_NOTICE_ATTEMPTS; attempt++) {
+      const params: UpstreamNotice = {senderId, ...createNotice()};
       const answer = await callPeer(
         this.network,
         neighbour,
@@ -59,9 +97,10 @@
       await sleep(NEIGHBOUR_NOTICE_RETRY_MS);
     }
     this.told.delete(key);
+    const upstream = createNotice().instanceId;
     this.log.warn('neighbour_not_told', {
       peer: neighbour.id,
-      upstream: notice.instanceId,
+      upstream,
       message,
     });
   }
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@fescuespool/common';
 import type {GrantRequest, Placement, RunEnd} from '@fescuespool/scheduling';
 import {
   MIN_RETRY_AFTER_MS,
@@ -5,10 +6,16 @@
   RUN_END,
 } from '@fescuespool/scheduling';
 import {tierOf} from './admission.js';
-import {GATEWAY_REFUSAL, MAX_REJECTED_SENDS} from './constants.js';
+import {
+  GATEWAY_REFUSAL,
+  MAX_EXCLUDED_UPSTREAMS,
+  MAX_REJECTED_SENDS,
+  PAUSED_GRANT_DELAY_MS,
+} from './constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import {checkGrant} from './grant_check.js';
 import type {OpenRequest} from './open_request.js';
 import {
   callerPatienceMs,
@@ -44,6 +51,8 @@
   private possibleRuns = 0;
   private sends = 0;
   private queuedMs = 0;
+  /** Grants returned because their upstreams were paused. */
+  private pausedGrants = 0;
   private errorResponse: BufferedResponse | null = null;
   private readonly excluded: string[] = [];
   private readonly avoidedZones: string[] = [];
@@ -95,7 +104,7 @@
         if (this.sendErrorResponse()) return;
         throw placed;
       }
-      if (this.returnUnusable(placed)) continue;
+      if (await this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
@@ -156,7 +165,7 @@
       (head, socket) =>
         upstreamStatements.recordResponse({upstream, head, socket, requestId}),
     );
-    if (life === 'same') return !this.returnUnusable(placement);
+    if (life === 'same') return !(await this.returnUnusable(placement));
     log.warn('upstream_life_unconfirmed', {
       id: requestId,
       upstream: upstream.instanceId,
@@ -166,7 +175,7 @@
       placement,
       signal.aborted ? RUN_END.CANCELLED : END_BY_LIFE[life],
     );
-    this.excluded.push(upstream.instanceId);
+    this.exclude(upstream.instanceId);
     return false;
   }
 
@@ -191,13 +200,19 @@
   }
 
   private excludeUpstream({upstream}: Placement, outcome: SendOutcome): void {
-    this.excluded.push(upstream.instanceId);
+    this.exclude(upstream.instanceId);
     const isOtherZone = upstream.zone !== this.gateway.members.localMember.zone;
     const hasConnection =
       outcome.errorResponse !== null || !outcome.isConnectionFailure;
     if (isOtherZone && !hasConnection) this.avoidedZones.push(upstream.zone);
   }
 
+  private exclude(instanceId: string): void {
+    const isFull = this.excluded.length >= MAX_EXCLUDED_UPSTREAMS;
+    if (isFull || this.excluded.includes(instanceId)) return;
+    this.excluded.push(instanceId);
+  }
+
   private canRetry(outcome: SendOutcome): boolean {
     const {timer, admission} = this.request;
     if (timer.isOver || this.sends > MAX_REJECTED_SENDS) return false;
@@ -260,19 +275,20 @@
     return answer.placement;
   }
 
-  /** Returns a grant whose upstream is known here to be leaving or replaced. */
-  private returnUnusable(placement: Placement): boolean {
-    const {upstreams} = this.gateway;
+  /** Returns a grant that may not be used; waits a little if it is paused. */
+  private async returnUnusable(placement: Placement): Promise<boolean> {
     const {upstream} = placement;
-    if (upstreams.isLeaving(upstream)) {
-      this.returnGrant(placement, RUN_END.LEAVING);
-      return true;
+    const unusable = checkGrant(upstream, this.gateway);
+    if (!unusable) return false;
+    const {end, pauseLeftMs} = unusable;
+    this.returnGrant(placement, end);
+    if (pauseLeftMs > 0) {
+      this.exclude(upstream.instanceId);
+      const delayMs = PAUSED_GRANT_DELAY_MS * 2 ** this.pausedGrants++;
+      const {signal} = this.request.timer;
+      await sleep(Math.min(delayMs, pauseLeftMs), signal);
     }
-    if (upstreams.isReplaced(upstream)) {
-      this.returnGrant(placement, RUN_END.REPLACED);
-      return true;
-    }
-    return false;
+    return true;
   }
 
   /**
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -115,6 +115,11 @@
   readonly isInstanceMismatch: boolean;
   /** Whether the upstream says that it leaves and wants no new requests. */
   readonly isLeaving: boolean;
+  /**
+   * Milliseconds for which the upstream wants no requests from the gateway that it
+   * answers; null if it does not say so.
+   */
+  readonly pauseMs: number | null;
   readonly load: ReportedLoad | null;
   readonly limits: NamedLimits;
 }
--- a/packages/gateway/src/upstream_registry.test.ts
+++ b/packages/gateway/src/upstream_registry.test.ts
@@ -75,15 +75,5 @@
       expect(registry.isLeaving(life(1))).toBe(true);
       expect(registry.leavingButListed).toEqual([]);
     });
-
-    it('takes an address as left only if no other upstream is registered there', () => {
-      const registry = registryOf(life(1));
-      expect(registry.isLeavingAt('10.0.0.1:80')).toBe(false);
-      registry.recordLeaving(life(1));
-      expect(registry.isLeavingAt('10.0.0.1:80')).toBe(true);
-      const next = life(2, {instanceId: 'i-2'});
-      registry.replace(listing(life(1), next), 1);
-      expect(registry.isLeavingAt('10.0.0.1:80')).toBe(false);
-    });
   });
 });
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -22,8 +22,6 @@
   /** Software versions of the services. */
   readonly versions = new VersionHistory();
   private registeredAddresses: ReadonlySet<string> = new Set();
-  /** Addresses at which only leaving upstreams are registered. */
-  private leavingAddresses: ReadonlySet<string> = new Set();
   /** The registered upstreams as their entries list them. */
   private listed: UpstreamsByService = new Map();
   /** The same, where those that said they leave are marked. */
@@ -104,9 +102,9 @@
     return this.leavingTold.has(upstreamLifeKey(life));
   }
 
-  /** Whether all upstreams registered at an address are leaving. */
-  isLeavingAt(address: string): boolean {
-    return this.leavingAddresses.has(address);
+  /** The upstreams registered at an address. */
+  registeredAt(address: string): UpstreamSpec[] {
+    return [...this.byId.values()].filter(spec => spec.address === address);
   }
 
   /** Service of a registered upstream; undefined for others. */
@@ -190,11 +188,5 @@
     this.unlistedLeaving = unlisted;
     const all = [...this.byId.values()];
     this.registeredAddresses = new Set(all.map(({address}) => address));
-    const leaving = all.filter(({isLeaving}) => isLeaving);
-    const leavingAddresses = new Set(leaving.map(({address}) => address));
-    for (const {address, isLeaving} of all) {
-      if (!isLeaving) leavingAddresses.delete(address);
-    }
-    this.leavingAddresses = leavingAddresses;
   }
 }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -157,6 +157,15 @@
 /** Maximum number of bursts that a cluster may use between two exchanges. */
 export const MAX_UNCONFIRMED_BURSTS = 4;
 
+/** Longest time in milliseconds for which an upstream may ask for a pause. */
+export const MAX_PAUSE_MS = 600_000;
+
+/** Maximum number of upstreams of which one gateway's pauses are remembered. */
+export const MAX_PAUSED_UPSTREAMS = 1_024;
+
+/** Maximum number of gateways whose pauses are remembered. */
+export const MAX_PAUSED_GATEWAYS = 1_024;
+
 /** Maximum number of upstreams whose rate limits are remembered. */
 export const MAX_LIMITED_UPSTREAMS = 1_024;
 
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -5,13 +5,11 @@
   MAX_REFUSED_FINGERPRINTS,
   MAX_RETRY_AFTER_MS,
   MAX_WAITING,
-  MIN_OVERLOAD_RETRY_AFTER_MS,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
   PLACEMENT_WINDOW,
   QUEUE_REFUSAL,
   REFUSED_FINGERPRINT_TTL_MS,
-  RETRY_AFTER_WAIT_FACTOR,
   RUN_END,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
@@ -19,6 +17,7 @@
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
 import {hasRequiredVersion} from './required_version.js';
+import {retryAfterMs} from './retry_after.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
@@ -100,11 +99,10 @@
     this.entryMonitor.recordContact(request.entryId, now);
     if (!request.isRetry) this.options.retryBudget.recordRequest();
     else if (!this.options.retryBudget.tryTake(now)) {
-      const retryAfterMs = MIN_RETRY_AFTER_MS;
       answer({
         kind: 'refused',
         reason: QUEUE_REFUSAL.BUDGET_SPENT,
-        retryAfterMs,
+        retryAfterMs: MIN_RETRY_AFTER_MS,
       });
       return;
     }
@@ -252,8 +250,8 @@
   /** Refuses requests that can't start in time, or whose version has gone. */
   private refuseUnplaceable(now: number): void {
     const {EXPIRED, OVERLOADED, NO_VERSION} = QUEUE_REFUSAL;
-    const rateFor = this.rateEstimator(now);
-    const unplaceable = this.waiting.takeUnplaceable(now, rateFor);
+    const rates = this.rateEstimator(now);
+    const unplaceable = this.waiting.takeUnplaceable(now, rates);
     const lost = this.waiting.takeWhere(
       ({request}) => !this.hasVersion(request),
     );
@@ -283,28 +281,27 @@
       if (!last) return QUEUE_REFUSAL.OVERLOADED;
       this.refuse(last, QUEUE_REFUSAL.OVERLOADED);
     }
-    const placedAtMs = now + this.expectedWaitMs(waiting, now);
+    const rates = this.rateEstimator(now);
+    const placedAtMs = now + this.expectedWaitMs(waiting, rates);
     return placedAtMs > placementDeadlineMs ? QUEUE_REFUSAL.OVERLOADED : null;
   }
 
   /** Refuses a request and remembers its fingerprint, in case it is repeated. */
   private refuse(waiting: WaitingRequest, reason: QueueRefusal): void {
-    const waitMs = this.expectedWaitMs(waiting, this.options.nowMs());
-    const retryAfterMs = Math.min(
-      MAX_RETRY_AFTER_MS,
-      Math.max(
-        MIN_OVERLOAD_RETRY_AFTER_MS,
-        Math.ceil(RETRY_AFTER_WAIT_FACTOR * waitMs),
-      ),
-    );
-    this.refusedFingerprints.set(waiting.request.fingerprint, true);
-    waiting.answer({kind: 'refused', reason, retryAfterMs});
+    const rates = this.rateEstimator(this.options.nowMs());
+    const waitMs = this.expectedWaitMs(waiting, rates);
+    const {request, answer} = waiting;
+    const afterMs = retryAfterMs(waitMs, rates.rateFor(request));
+    this.refusedFingerprints.set(request.fingerprint, true);
+    answer({kind: 'refused', reason, retryAfterMs: afterMs});
   }
 
   /** Expected milliseconds until the requests ahead of this one are placed. */
-  private expectedWaitMs(waiting: WaitingRequest, now: number): number {
-    const rateFor = this.rateEstimator(now);
-    return this.waiting.expectedWaitMs(waiting, rateFor, MAX_RETRY_AFTER_MS);
+  private expectedWaitMs(
+    waiting: WaitingRequest,
+    rates: RateEstimator,
+  ): number {
+    return this.waiting.expectedWaitMs(waiting, rates, MAX_RETRY_AFTER_MS);
   }
 
   private rateEstimator(now: number): RateEstimator {
@@ -336,8 +333,13 @@
     const usable = this.usable(now);
     let free = usable.filter(state => this.hasRoom(state, now));
     if (free.length === 0) return;
+    const {rateLimiter} = this.options;
     const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
-      free.some(({spec}) => hasRequiredVersion(request, spec)),
+      free.some(
+        ({spec}) =>
+          hasRequiredVersion(request, spec) &&
+          !rateLimiter.isPausedFor(request, spec, now),
+      ),
     );
     for (const waiting of waitingRequests) {
       if (free.length === 0) return;
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -10,6 +10,7 @@
   UpstreamSpec,
 } from '../types.js';
 import {NO_LIMITS, UpstreamLimits} from '../upstream_limits.js';
+import {UpstreamPauses} from '../upstream_pauses.js';
 import {UpstreamRateLimiter} from '../upstream_rate_limiter.js';
 
 /** Entry of all requests. */
@@ -66,6 +67,8 @@
   readonly order: string[] = [];
   /** Rate limits of the upstreams. */
   readonly limits = new UpstreamLimits();
+  /** Pauses that the upstreams asked for. */
+  readonly pauses = new UpstreamPauses();
   /** The queue under test. */
   readonly queue: DispatchQueue;
 
@@ -74,7 +77,7 @@
     this.queue = new DispatchQueue({
       nowMs: () => this.nowMs,
       retryBudget: new RetryBudget(budget),
-      rateLimiter: new UpstreamRateLimiter(this.limits),
+      rateLimiter: new UpstreamRateLimiter(this.limits, this.pauses),
       mayHaveOtherOwner: () => false,
     });
     this.queue.setUpstreams(specs);
@@ -128,6 +131,12 @@
     });
   }
 
+  /** Lets an upstream ask an entry for a pause of some milliseconds. */
+  pause(instanceId: string, pauseMs: number, entryId = ENTRY): void {
+    const pause = {...upstream(instanceId), untilMs: this.nowMs + pauseMs};
+    this.pauses.record(entryId, pause, this.nowMs);
+  }
+
   /** Lets an upstream say how many rejections a second it bears. */
   limitRejections(instanceId: string, maxRejectionsPerS: number): void {
     const statedAtMs = this.nowMs;
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -54,10 +54,12 @@
   ): UpstreamChoice {
     const {request} = waiting;
     const usable = withRequiredVersion(request, usableStates);
-    const free = withRequiredVersion(request, freeStates);
+    const free = withRequiredVersion(request, freeStates).filter(
+      ({spec}) => !this.rateLimiter.isPausedFor(request, spec, nowMs),
+    );
     const leftToPlaceMs = waiting.placementDeadlineMs - nowMs;
     const isReachable = ({spec}: UpstreamState): boolean => {
-      const waitMs = this.rateLimiter.waitMs(spec, nowMs);
+      const waitMs = this.rateLimiter.waitMsFor(request, spec, nowMs);
       return waitMs === 0 || waitMs <= leftToPlaceMs;
     };
     const isSafe = (state: UpstreamState): boolean =>
@@ -120,7 +122,7 @@
       const slots = Math.max(1, state.spec.slots);
       const roomWaitMs = Math.max(
         this.latency.predictRunMs(state) / slots,
-        this.rateLimiter.waitMs(state.spec, nowMs),
+        this.rateLimiter.waitMsFor(request, state.spec, nowMs),
       );
       return roomWaitMs + this.estimateCost(request, state).startMs <= leftMs;
     });
--- a/packages/scheduling/src/upstream_rate_limiter.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.ts
@@ -2,20 +2,51 @@
 import {MIN_RATE_PER_S} from './constants.js';
 import type {QuotaLimit} from './token_quota.js';
 import {QuotaLedger} from './token_quota.js';
-import type {UpstreamSpec} from './types.js';
+import type {GrantRequest, UpstreamSpec} from './types.js';
 import type {UpstreamLimits} from './upstream_limits.js';
 import {upstreamLifeKey} from './upstream_limits.js';
+import {UpstreamPauses} from './upstream_pauses.js';
 
 /**
  * Keeps the requests of all gateways to an upstream within the rate that it
  * accepts. Each dispatcher charges its grants to a token bucket and deducts those
  * that other dispatchers report, of which there may be several in a partition.
+ * Pauses that an upstream asked of one gateway count for that gateway alone.
  */
 export class UpstreamRateLimiter {
   /** Buckets of the limited upstreams, in requests. */
   readonly ledger = new QuotaLedger();
 
-  constructor(private readonly limits: UpstreamLimits) {}
+  constructor(
+    private readonly limits: UpstreamLimits,
+    private readonly pauses = new UpstreamPauses(),
+  ) {}
+
+  /** Whether an upstream wants no requests from any of the gateways. */
+  hasPauses(nowMs: number): boolean {
+    return this.pauses.isInForce(nowMs);
+  }
+
+  /** Whether an upstream wants no requests from the request's gateway. */
+  isPausedFor(
+    {entryId}: GrantRequest,
+    upstream: UpstreamSpec,
+    nowMs: number,
+  ): boolean {
+    return this.pauses.waitMs(entryId, upstream, nowMs) > 0;
+  }
+
+  /** Milliseconds until an upstream accepts the request; 0 if it does now. */
+  waitMsFor(
+    {entryId}: GrantRequest,
+    upstream: UpstreamSpec,
+    nowMs: number,
+  ): number {
+    return Math.max(
+      this.waitMs(upstream, nowMs),
+      this.pauses.waitMs(entryId, upstream, nowMs),
+    );
+  }
 
   /** Limit in force in requests per second; null for none. */
   limitOf(upstream: UpstreamSpec, nowMs: number): number | null {
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -92,16 +92,16 @@
    */
   expectedWaitMs(
     waiting: WaitingRequest,
-    rateFor: RateEstimator,
+    {rateFor, differsByGateway}: RateEstimator,
     unknownWaitMs: number,
   ): number {
     const index = this.insertionIndexOf(waiting);
     const counter = new AheadCounter();
-    if (this.boundCount === 0) counter.addUnbound(index);
+    if (this.boundCount === 0 && !differsByGateway) counter.addUnbound(index);
     else
       this.requests
         .slice(0, index)
-        .forEach(ahead => counter.add(ahead.request));
+        .forEach(ahead => counter.add(ahead.request, rateFor(ahead.request)));
     const {request} = waiting;
     return counter.waitMs(request, rateFor(request), unknownWaitMs);
   }
@@ -125,13 +125,14 @@
    * Removes and returns the requests that will miss their placement deadline at
    * the given rates.
    */
-  takeUnplaceable(nowMs: number, rateFor: RateEstimator): WaitingRequest[] {
+  takeUnplaceable(nowMs: number, {rateFor}: RateEstimator): WaitingRequest[] {
     const unplaceable: WaitingRequest[] = [];
     const counter = new AheadCounter();
     for (const waiting of this.requests) {
       const {request, placementDeadlineMs} = waiting;
-      const waitMs = counter.waitMs(request, rateFor(request), 0);
-      if (nowMs + waitMs < placementDeadlineMs) counter.add(request);
+      const rate = rateFor(request);
+      const waitMs = counter.waitMs(request, rate, 0);
+      if (nowMs + waitMs < placementDeadlineMs) counter.add(request, rate);
       else unplaceable.push(waiting);
     }
     for (const waiting of unplaceable) this.remove(waiting.request.requestId);
