--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -12,6 +12,7 @@
     limitObserver,
     upstreams,
     upstreamPaths,
+    upstreamStatements,
   }: GatewayContext,
   dispatcher: Dispatcher,
 ): void {
@@ -25,6 +26,7 @@
   gauge('crash_causes', '', crashGuard.causes.length);
   gauge('upstreams_limited', '', limitObserver.limitedCount);
   gauge('upstreams_leaving_told', '', upstreams.leavingButListed.length);
+  gauge('upstreams_paused', '', upstreamStatements.pausedCount);
   gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
   gauge('tunnels_open', '', upstreamPaths.tunnels.count);
   gauge('usage_hub', '', members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
