Leave a silent upstream only once another one is granted

Callers saw: a stream whose response had begun was cut although its upstream was sound and only silent for a second or so. The connection closed without the rest and without an error that a caller could read.

Cause: after 1.2 s without an event, or the start timeout without a response head, the send was ended first and another upstream was asked for afterwards. If the queue granted none (no upstream of its version left, all full, the retry budget spent, or the one that was granted did not confirm its life), nothing was left to go on with.

Change: SilenceWatch has another upstream looked for while the send goes on. The send is abandoned when one is granted, and confirmed for a stream bound to a version; whatever comes before ends the search and returns its grant. Without a grant the answer is waited for up to the request's time limit, and the search is repeated at growing intervals. The grant of the search has an id of its own, since both are held for a moment. A stalled stream is resumed as early as before where there is a place ('hands its stream over while it is silent').

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -1,4 +1,5 @@
-import {REFUSAL_STATUS} from './constants.js';
+import {QUEUE_REFUSAL} from '@fescuespool/scheduling';
+import {GATEWAY_REFUSAL, REFUSAL_STATUS} from './constants.js';
 import type {GatewayRefusal} from './types.js';
 
 /** Why the gateway refuses a request, or could not complete it. */
@@ -30,3 +31,17 @@
     this.name = 'PathError';
   }
 }
+
+/** Refusal for the reason of a queue's refusal. */
+export function toGatewayRefusal(reason: string): GatewayRefusal {
+  switch (reason) {
+    case QUEUE_REFUSAL.EXPIRED:
+      return GATEWAY_REFUSAL.EXPIRED;
+    case QUEUE_REFUSAL.NO_UPSTREAM:
+      return GATEWAY_REFUSAL.NO_UPSTREAM;
+    case QUEUE_REFUSAL.BUDGET_SPENT:
+      return GATEWAY_REFUSAL.BUDGET_SPENT;
+    default:
+      return GATEWAY_REFUSAL.OVERLOADED;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/grant_request.ts
@@ -0,0 +1,40 @@
+import type {GrantRequest} from '@fescuespool/scheduling';
+import {tierOf} from './admission.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {OpenRequest} from './open_request.js';
+import {callerPatienceMs, isRepeatable} from './open_request.js';
+import type {StreamProgress} from './stream_relay.js';
+
+/** What earlier sends of a request leave to its next one. */
+type SendHistory = Pick<GrantRequest, 'isRetry' | 'excluded' | 'avoidedZones'>;
+
+/** Creates what is sent to the owner of a queue for an upstream. */
+export function createGrantRequest(
+  gateway: GatewayContext,
+  {admission, timer, head, fingerprint}: OpenRequest,
+  {hasSentHead, softwareVersion}: StreamProgress,
+  history: SendHistory,
+): GrantRequest {
+  const {route} = admission;
+  const {localMember} = gateway.members;
+  // Once a stream has begun, the objective is the time to its next event.
+  const objectiveLeftMs = hasSentHead
+    ? (route.maxEventGapMs ?? 0)
+    : route.objectiveMs - timer.elapsedMs;
+  const patienceLeftMs = hasSentHead
+    ? timer.remainingMs
+    : Math.min(callerPatienceMs(route) - timer.elapsedMs, timer.remainingMs);
+  return {
+    requestId: head.requestId,
+    entryId: localMember.id,
+    zone: localMember.zone,
+    tier: tierOf(admission),
+    fingerprint,
+    promptTokens: head.tokens?.prompt ?? 0,
+    objectiveLeftMs: Math.round(objectiveLeftMs),
+    patienceLeftMs: Math.round(patienceLeftMs),
+    isRepeatable: isRepeatable(route),
+    requiredVersion: softwareVersion,
+    ...history,
+  };
+}
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,38 +1,27 @@
-import type {GrantRequest, Placement, RunEnd} from '@fescuespool/scheduling';
+import type {GrantRequest, RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
 import {
   MIN_RETRY_AFTER_MS,
   QUEUE_REFUSAL,
   RUN_END,
 } from '@fescuespool/scheduling';
-import {tierOf} from './admission.js';
 import {GATEWAY_REFUSAL, MAX_REJECTED_SENDS} from './constants.js';
-import {GatewayRefusalError} from './errors.js';
+import {GatewayRefusalError, toGatewayRefusal} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import type {Grant} from './grant.js';
+import {logPlacement, returnGrant} from './grant.js';
+import {createGrantRequest} from './grant_request.js';
 import type {OpenRequest} from './open_request.js';
-import {
-  callerPatienceMs,
-  isRepeatable,
-  isStream,
-  sendBufferedResponse,
-} from './open_request.js';
+import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import {END_BY_LIFE, seekOtherUpstream} from './other_upstream.js';
 import {pickTarget} from './route_table.js';
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
 import {placeToResume} from './stream_resumption.js';
-import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {checkLife} from './upstream_life.js';
 import type {BufferedResponse} from './upstream_send.js';
 
-/** End to report for an upstream that is not in the life that is required. */
-const END_BY_LIFE = {
-  replaced: RUN_END.REPLACED,
-  unreachable: RUN_END.UNREACHABLE,
-  // A sound upstream may be silent for a while.
-  silent: RUN_END.CANCELLED,
-} as const;
-
 /**
  * Runs one request: waits for a placement, sends the request to that upstream,
  * and retries where the route permits it.
@@ -49,6 +38,9 @@
   private readonly avoidedZones: string[] = [];
   private readonly progress: StreamProgress;
   private service: string;
+  private searches = 0;
+  /** Grant of an upstream that takes over from a silent one. */
+  private nextGrant: Grant | null = null;
 
   constructor(
     private readonly gateway: GatewayContext,
@@ -88,9 +80,17 @@
    * GatewayRefusalError if the request was refused or every attempt failed.
    */
   async run(): Promise<void> {
-    await this.bindToOrigin();
+    try {
+      await this.bindToOrigin();
+      await this.runUntilEnd();
+    } finally {
+      this.returnNextGrant();
+    }
+  }
+
+  private async runUntilEnd(): Promise<void> {
     for (;;) {
-      const placed = await this.place();
+      const placed = this.takeNextGrant() ?? (await this.place());
       if (placed instanceof GatewayRefusalError) {
         if (this.sendErrorResponse()) return;
         throw placed;
@@ -144,7 +144,7 @@
    * Whether an upstream has the version that a stream is bound to; if not, its
    * grant has been returned. Throws a GatewayRefusalError if another can't help.
    */
-  private async isAtRequiredVersion(placement: Placement): Promise<boolean> {
+  private async isAtRequiredVersion(placement: Grant): Promise<boolean> {
     const {softwareVersion} = this.progress;
     if (softwareVersion === null) return true;
     const {upstream} = placement;
@@ -153,6 +153,7 @@
       this.returnGrant(placement, RUN_END.CANCELLED);
       throw this.createNotResumableRefusal();
     }
+    if (softwareVersion === placement.confirmedVersion) return true;
     const {wireFormat, upstreamPaths, log} = this.gateway;
     const {signal} = this.request.timer;
     const life = await checkLife(upstream, wireFormat, upstreamPaths, signal);
@@ -171,7 +172,7 @@
     return false;
   }
 
-  private async attempt(placement: Placement): Promise<SendOutcome> {
+  private async attempt(placement: Grant): Promise<SendOutcome> {
     const {route} = this.request.admission;
     const mayRepeat =
       isRepeatable(route) && this.possibleRuns + 1 < route.maxAttempts;
@@ -181,17 +182,74 @@
       this.request,
       placement,
       this.progress,
-      {mayRepeat, service: this.service, send: this.sends},
+      {
+        seekOther: mayRepeat
+          ? (signal, onFound) =>
+              this.seekOther(placement.upstream, signal, onFound)
+          : null,
+        service: this.service,
+        send: this.sends,
+      },
     );
     const outcome = await attempt.run();
     if (outcome.mayHaveArrived) this.possibleArrivals++;
     if (outcome.mayHaveRun) this.possibleRuns++;
     if (outcome.errorResponse) this.errorResponse = outcome.errorResponse;
     if (!outcome.isDone) this.excludeUpstream(placement, outcome);
+    const {softwareVersion} = this.progress;
+    // The stream may have begun just before it was abandoned.
+    if (this.nextGrant?.confirmedVersion !== softwareVersion) {
+      this.returnNextGrant();
+    }
     return outcome;
   }
 
-  private excludeUpstream({upstream}: Placement, outcome: SendOutcome): void {
+  /** Looks for an upstream that takes over from one that is silent. */
+  private async seekOther(
+    {instanceId}: UpstreamSpec,
+    signal: AbortSignal,
+    onFound: () => void,
+  ): Promise<void> {
+    if (!this.mayGoOnElsewhere) return;
+    const {requestId} = this.request.head;
+    const request = {
+      ...this.createGrantRequest(),
+      // The silent upstream's grant keeps the request's own id.
+      requestId: `${requestId}~${++this.searches}`,
+      isRetry: true,
+      excluded: [...this.excluded, instanceId],
+    };
+    const {gateway, service} = this;
+    const grant = await seekOtherUpstream(
+      gateway,
+      requestId,
+      service,
+      request,
+      signal,
+    );
+    if (!grant) return;
+    if (signal.aborted) {
+      returnGrant(gateway, requestId, grant, RUN_END.CANCELLED);
+      return;
+    }
+    this.nextGrant = grant;
+    this.logPlacement(grant);
+    onFound();
+  }
+
+  private takeNextGrant(): Grant | null {
+    const grant = this.nextGrant;
+    this.nextGrant = null;
+    return grant;
+  }
+
+  /** Returns the grant of an upstream that is not needed any more. */
+  private returnNextGrant(): void {
+    const grant = this.takeNextGrant();
+    if (grant) this.returnGrant(grant, RUN_END.CANCELLED);
+  }
+
+  private excludeUpstream({upstream}: Grant, outcome: SendOutcome): void {
     this.excluded.push(upstream.instanceId);
     const isOtherZone = upstream.zone !== this.gateway.members.localMember.zone;
     const hasConnection =
@@ -199,13 +257,19 @@
     if (isOtherZone && !hasConnection) this.avoidedZones.push(upstream.zone);
   }
 
-  private canRetry(outcome: SendOutcome): boolean {
-    const {timer, admission} = this.request;
+  /** Whether another upstream could do what is left of the request. */
+  private get mayGoOnElsewhere(): boolean {
+    const {timer} = this.request;
     if (timer.isOver || this.sends > MAX_REJECTED_SENDS) return false;
     // Another upstream could only go on if the version that began were known.
     const {firstEventMs, softwareVersion} = this.progress;
-    if (firstEventMs !== null && softwareVersion === null) return false;
+    return firstEventMs === null || softwareVersion !== null;
+  }
+
+  private canRetry(outcome: SendOutcome): boolean {
+    if (!this.mayGoOnElsewhere) return false;
     if (!outcome.mayHaveRun) return true;
+    const {admission} = this.request;
     return (
       isRepeatable(admission.route) &&
       this.possibleRuns < admission.route.maxAttempts
@@ -213,7 +277,7 @@
   }
 
   /** Waits for a placement; returns a refusal if none is granted. */
-  private async place(): Promise<Placement | GatewayRefusalError> {
+  private async place(): Promise<Grant | GatewayRefusalError> {
     const {timer, head} = this.request;
     const startMs = this.gateway.clock.monotonicMs();
     const answer = await this.gateway.dispatchClient.acquire(
@@ -248,73 +312,32 @@
         retryAfterMs,
       );
     }
-    const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} =
-      answer.placement;
-    const {dispatchClient, limitObserver, upstreamPaths} = this.gateway;
-    this.gateway.log.info('placed', {
-      id: head.requestId,
-      service: this.service,
-      upstream: upstream.instanceId,
-      waitedMs: Math.round(waitedMs),
-      freeSlots,
-      isOnTrial,
-      expectedStartMs: Math.round(expectedStartMs),
-      send: this.sends + 1,
-      version: upstream.softwareVersion ?? undefined,
-      grantedBy: dispatchClient.granterOf(head.requestId),
-      isTunnelled: upstreamPaths.usesTunnel(upstream.address) || undefined,
-      limitPerS: limitObserver.limitToldBy(upstream) ?? undefined,
-    });
-    return answer.placement;
+    const {requestId: grantId} = head;
+    const grant = {...answer.placement, grantId, confirmedVersion: null};
+    this.logPlacement(grant);
+    return grant;
+  }
+
+  private logPlacement(grant: Grant): void {
+    const {requestId: id} = this.request.head;
+    const {gateway, service, sends} = this;
+    logPlacement(gateway, grant, {id, service, send: sends + 1});
   }
 
   /**
    * Returns a grant unused: its upstream is leaving, which the dispatcher did not
    * know yet, or the request may not be sent any more.
    */
-  private returnGrant({upstream}: Placement, end: RunEnd): void {
-    const {requestId} = this.request.head;
-    const {instanceId} = upstream;
-    this.gateway.log.info('grant_handed_back', {
-      id: requestId,
-      upstream: instanceId,
-    });
-    this.gateway.dispatchClient.reportEnd({
-      requestId,
-      end,
-      runMs: 0,
-      eventGapMs: null,
-      load: null,
-    });
+  private returnGrant(grant: Grant, end: RunEnd): void {
+    returnGrant(this.gateway, this.request.head.requestId, grant, end);
   }
 
   private createGrantRequest(): GrantRequest {
-    const {admission, timer, head} = this.request;
-    const {route} = admission;
-    const {localMember} = this.gateway.members;
-    // Once a stream has begun, the objective is the time to its next event.
-    const {hasSentHead} = this.progress;
-    const objectiveLeftMs = hasSentHead
-      ? (route.maxEventGapMs ?? 0)
-      : route.objectiveMs - timer.elapsedMs;
-    const patienceLeftMs = hasSentHead
-      ? timer.remainingMs
-      : Math.min(callerPatienceMs(route) - timer.elapsedMs, timer.remainingMs);
-    return {
-      requestId: head.requestId,
-      entryId: localMember.id,
-      zone: localMember.zone,
-      tier: tierOf(admission),
-      fingerprint: this.request.fingerprint,
-      promptTokens: head.tokens?.prompt ?? 0,
-      objectiveLeftMs: Math.round(objectiveLeftMs),
-      patienceLeftMs: Math.round(patienceLeftMs),
-      isRepeatable: isRepeatable(route),
+    return createGrantRequest(this.gateway, this.request, this.progress, {
       isRetry: this.possibleArrivals > 0,
       excluded: this.excluded,
       avoidedZones: this.avoidedZones,
-      requiredVersion: this.progress.softwareVersion,
-    };
+    });
   }
 
   /**
@@ -359,16 +382,3 @@
     );
   }
 }
-
-function toGatewayRefusal(reason: string): GatewayRefusal {
-  switch (reason) {
-    case QUEUE_REFUSAL.EXPIRED:
-      return GATEWAY_REFUSAL.EXPIRED;
-    case QUEUE_REFUSAL.NO_UPSTREAM:
-      return GATEWAY_REFUSAL.NO_UPSTREAM;
-    case QUEUE_REFUSAL.BUDGET_SPENT:
-      return GATEWAY_REFUSAL.BUDGET_SPENT;
-    default:
-      return GATEWAY_REFUSAL.OVERLOADED;
-  }
-}
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -23,7 +23,7 @@
 }
 
 /** How the relay of one upstream's stream ended. */
-export type RelayEnd = 'complete' | 'broken' | 'silent' | 'caller_gone';
+export type RelayEnd = 'complete' | 'broken' | 'caller_gone';
 
 /** Result of relaying one upstream's stream. */
 export interface RelayResult {
@@ -45,8 +45,8 @@
   readonly onFirstEvent: () => void;
   /** Called for events that arrive RESPONSE_SURVIVAL_MS after the first one. */
   readonly onSurvival: () => void;
-  /** Milliseconds without a new event that end the relay; null for no limit. */
-  readonly idleTimeoutMs: number | null;
+  /** Called when events with content have arrived. */
+  readonly onContent: () => void;
 }
 
 /**
@@ -57,13 +57,11 @@
   exchange: HttpExchange,
   options: RelayOptions,
 ): Promise<RelayResult> {
-  const {res, progress, nowMs, idleTimeoutMs} = options;
+  const {res, progress, nowMs} = options;
   const splitter = new EventSplitter();
   let eventCount = 0;
   let firstAtMs = 0;
   let lastAtMs = 0;
-  let isIdle = false;
-  let timer: NodeJS.Timeout | null = null;
   const createResult = (end: RelayEnd): RelayResult => ({
     end,
     eventCount,
@@ -73,7 +71,7 @@
   // Comments are forwarded, but a stalled upstream may send them for ever.
   const recordEvents = (count: number): void => {
     if (count === 0) return;
-    timer?.refresh();
+    options.onContent();
     lastAtMs = nowMs();
     if (eventCount === 0) {
       firstAtMs = lastAtMs;
@@ -82,19 +80,14 @@
     if (lastAtMs - firstAtMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
     eventCount += count;
   };
-  if (idleTimeoutMs !== null) {
-    timer = setTimeout(() => {
-      isIdle = true;
-      exchange.abort();
-    }, idleTimeoutMs);
-  }
   try {
     for await (const chunk of exchange.res as AsyncIterable<Buffer>) {
       const newEvents = splitter
         .push(chunk)
         .filter(event => isAfter(event, progress.lastEventId));
       if (newEvents.length === 0) continue;
-      recordEvents(newEvents.filter(event => event.hasContent).length);
+      const contentCount = newEvents.filter(event => event.hasContent).length;
+      recordEvents(contentCount);
       if (!progress.hasSentHead) {
         await options.beforeFirstEvent();
         options.writeHead();
@@ -123,9 +116,7 @@
   } catch {
     // The connection broke or was aborted; the caller of this function decides
     // whether to retry.
-    return createResult(isIdle ? 'silent' : 'broken');
-  } finally {
-    if (timer) clearTimeout(timer);
+    return createResult('broken');
   }
 }
 
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,4 +1,3 @@
-import type {Placement} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
 import type {IncomingMessage} from 'node:http';
@@ -15,9 +14,12 @@
 import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import type {Grant} from './grant.js';
 import {endToReport} from './send_blame.js';
 import type {SendOutcome} from './send_outcome.js';
 import {COMPLETED, failedRun, notRun} from './send_outcome.js';
+import type {SeekOther} from './silence_watch.js';
+import {SilenceWatch} from './silence_watch.js';
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
 import {StreamVersionTracker} from './stream_version_tracker.js';
@@ -33,8 +35,8 @@
 
 /** The send's place in its request. */
 export interface AttemptOptions {
-  /** Whether the request may run again, so that this send may time out. */
-  readonly mayRepeat: boolean;
+  /** Looks for another upstream; null if the request may not run again. */
+  readonly seekOther: SeekOther | null;
   readonly service: string;
   /** Number of the send, from 1. */
   readonly send: number;
@@ -48,16 +50,21 @@
   private readonly upstreamState: string;
   /** Load that the upstream reported with its response. */
   private reportedLoad: UpstreamResponseHead['load'] = null;
+  private readonly abandonment = new AbortController();
+  private readonly silenceWatch: SilenceWatch | null;
 
   constructor(
     private readonly gateway: GatewayContext,
     private readonly request: OpenRequest,
-    private readonly placement: Placement,
+    private readonly placement: Grant,
     private readonly progress: StreamProgress,
     private readonly options: AttemptOptions,
   ) {
     this.routeLabels = routeLabels(request.admission.route);
     this.upstreamState = placement.isOnTrial ? 'on_trial' : 'sound';
+    const {seekOther} = options;
+    this.silenceWatch =
+      seekOther && new SilenceWatch(seekOther, () => this.abandonment.abort());
   }
 
   /**
@@ -68,6 +75,7 @@
     const {clock, dispatchClient, metrics, upstreams} = this.gateway;
     this.sentAtMs = clock.monotonicMs();
     const outcome = await this.handleSendResult(await this.send());
+    this.silenceWatch?.stop();
     const {instanceId} = this.placement.upstream;
     if (outcome.end === RUN_END.COMPLETED) {
       upstreams.recordResponse(instanceId, clock.monotonicMs());
@@ -80,7 +88,7 @@
     const load = isStream(this.request.admission.route)
       ? null
       : this.reportedLoad;
-    const {requestId} = this.request.head;
+    const requestId = this.placement.grantId;
     dispatchClient.reportEnd({requestId, end, runMs, eventGapMs, load});
     metrics.recordSendEnd(this.routeLabels, this.upstreamState, end);
     if (eventGapMs !== null) {
@@ -100,6 +108,7 @@
       minTimeoutMs,
       START_TIMEOUT_FACTOR * expectedStartMs,
     );
+    this.silenceWatch?.expectWithin(Math.round(startTimeoutMs));
     const {wireFormat, upstreamPaths} = this.gateway;
     return sendToUpstream(
       {
@@ -120,13 +129,11 @@
           upstream.address,
           isRepeatable(admission.route),
         ),
-        startTimeoutMs: this.options.mayRepeat
-          ? Math.round(startTimeoutMs)
-          : null,
-        signal: timer.signal,
+        signal: AbortSignal.any([timer.signal, this.abandonment.signal]),
       },
       wireFormat,
     ).then(result => {
+      this.silenceWatch?.stop();
       if (result.kind !== 'answered') return result;
       this.reportedLoad = result.head.load;
       this.recordLimit(result.head);
@@ -162,15 +169,25 @@
           ...failedRun(RUN_END.BROKEN, sent.cause),
           isConnectionFailure: true,
         };
-      case 'silent':
-        return failedRun(RUN_END.SILENT, 'response head timed out');
       case 'aborted':
-        return this.cancelledOutcome();
+        return this.handleAbort(sent.isSent);
       case 'answered':
         return this.handleResponse(sent.exchange, sent.head);
     }
   }
 
+  private handleAbort(isSent: boolean): SendOutcome {
+    const {hasOther} = this.silenceWatch ?? {};
+    if (!hasOther || this.request.timer.signal.aborted) {
+      return this.cancelledOutcome();
+    }
+    if (isSent) return failedRun(RUN_END.SILENT, 'response head timed out');
+    return {
+      ...notRun(RUN_END.UNREACHABLE, 'connection timed out', false),
+      isConnectionFailure: true,
+    };
+  }
+
   private cancelledOutcome(): SendOutcome {
     const outcome = failedRun(
       RUN_END.CANCELLED,
@@ -216,6 +233,9 @@
       {upstream: this.placement.upstream, ...this.options},
     );
     const originShared = versionTracker.shareOrigin();
+    const expectEvent = (): void =>
+      this.silenceWatch?.expectWithin(eventTimeoutMs(admission.route));
+    expectEvent();
     const result = await relayStream(exchange, {
       res,
       progress: this.progress,
@@ -232,9 +252,7 @@
         this.reportStart(this.reportedLoad);
       },
       onSurvival: () => this.recordSurvival(),
-      idleTimeoutMs: this.options.mayRepeat
-        ? eventTimeoutMs(admission.route)
-        : null,
+      onContent: expectEvent,
     });
     return this.handleRelayResult(exchange, result);
   }
@@ -252,7 +270,9 @@
     if (end === 'caller_gone' || this.request.timer.signal.aborted) {
       return this.cancelledOutcome();
     }
-    if (end === 'silent') return failedRun(RUN_END.SILENT, 'stream timed out');
+    if (this.silenceWatch?.hasOther) {
+      return failedRun(RUN_END.SILENT, 'stream timed out');
+    }
     return {
       ...failedRun(RUN_END.FAILED, 'stream ended before it was complete'),
       isConnectionFailure: true,
@@ -267,6 +287,7 @@
     const response = await bufferResponse(exchange);
     if (!response) {
       if (this.request.timer.signal.aborted) return this.cancelledOutcome();
+      if (this.silenceWatch?.hasOther) return this.handleAbort(true);
       return {
         ...failedRun(RUN_END.FAILED, 'response incomplete or too large'),
         isConnectionFailure: true,
@@ -294,7 +315,7 @@
   private reportStart(load: UpstreamResponseHead['load']): void {
     const {clock, dispatchClient, metrics} = this.gateway;
     const startMs = Math.round(clock.monotonicMs() - this.sentAtMs);
-    const {requestId} = this.request.head;
+    const requestId = this.placement.grantId;
     dispatchClient.reportStart({requestId, startMs, load});
     if (!isStream(this.request.admission.route)) return;
     this.progress.firstEventMs ??= Math.round(this.request.timer.elapsedMs);
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -71,6 +71,24 @@
     return this.serviceById.get(instanceId);
   }
 
+  /**
+   * Whether a service has an upstream that stays and is not one of those given,
+   * with a software version unless that is null.
+   */
+  hasOther(
+    service: string,
+    softwareVersion: string | null,
+    instanceIds: readonly string[],
+  ): boolean {
+    return [...this.byId.values()].some(
+      spec =>
+        this.serviceById.get(spec.instanceId) === service &&
+        !spec.isLeaving &&
+        !instanceIds.includes(spec.instanceId) &&
+        (softwareVersion === null || spec.softwareVersion === softwareVersion),
+    );
+  }
+
   /** Records a complete response, at a monotonic time in milliseconds. */
   recordResponse(instanceId: string, atMs: number): void {
     if (this.byId.has(instanceId)) this.lastResponseMs.set(instanceId, atMs);
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -14,8 +14,6 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly agent: Agent;
-  /** Timeout in milliseconds for the response head; null for no limit. */
-  readonly startTimeoutMs: number | null;
   readonly signal: AbortSignal;
 }
 
@@ -35,8 +33,8 @@
     }
   /** The connection broke; the request may have run. */
   | {readonly kind: 'broken'; readonly cause: string}
-  | {readonly kind: 'silent'}
-  | {readonly kind: 'aborted'};
+  /** The signal was aborted, before or after the request was sent. */
+  | {readonly kind: 'aborted'; readonly isSent: boolean};
 
 /** Sends a request and waits for the response head. */
 export async function sendToUpstream(
@@ -51,7 +49,6 @@
     body: request.body,
     agent: request.agent,
     connectTimeoutMs: ANY_PATH_TIMEOUT_MS,
-    responseTimeoutMs: request.startTimeoutMs ?? undefined,
     signal: request.signal,
   });
   if (opened.isOk()) {
@@ -59,18 +56,18 @@
     const head = wireFormat.parseResponse(res.statusCode ?? 0, res.headers);
     return {kind: 'answered', exchange: opened.value, head};
   }
-  const {kind, isTimeout, message, cause} = opened.error;
+  const {kind, message, cause} = opened.error;
   if (kind === CALL_ERROR_KIND.NOT_SENT) {
     return request.signal.aborted
-      ? {kind: 'aborted'}
+      ? {kind: 'aborted', isSent: false}
       : {
           kind: 'unreachable',
           cause: message,
           isOwnFault: cause instanceof PathError && cause.isOwnFault,
         };
   }
-  if (request.signal.aborted) return {kind: 'aborted'};
-  return isTimeout ? {kind: 'silent'} : {kind: 'broken', cause: message};
+  if (request.signal.aborted) return {kind: 'aborted', isSent: true};
+  return {kind: 'broken', cause: message};
 }
 
 /** A complete response, buffered before any of it is sent to the caller. */
