Count no wait for a caller as silence of its upstream

Callers saw: a stream of a caller that reads slowly was taken from its sound upstream and run again elsewhere, or cut if there was no other.

Cause: the time without events went on while the events that had come waited for the caller to read.

Evidence, on the code before: 'is not left because its caller reads slowly' failed with two requests at the engines, 'expected 2 to be 1'.

Change: an upstream's next event is expected only once the caller has taken the ones before.

--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -47,6 +47,8 @@
   readonly onSurvival: () => void;
   /** Called when events with content have arrived. */
   readonly onContent: () => void;
+  /** Called when the caller has taken them. */
+  readonly onWritten: () => void;
 }
 
 /**
@@ -99,6 +101,7 @@
       if (!(await writeWithBackpressure(res, bytes))) {
         return createResult('caller_gone');
       }
+      if (contentCount > 0) options.onWritten();
     }
     if (!exchange.res.complete || exchange.hasFailed()) {
       return createResult('broken');
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -252,7 +252,8 @@
         this.reportStart(this.reportedLoad);
       },
       onSurvival: () => this.recordSurvival(),
-      onContent: expectEvent,
+      onContent: () => this.silenceWatch?.stop(),
+      onWritten: expectEvent,
     });
     return this.handleRelayResult(exchange, result);
   }
