--- a/packages/gateway/src/grant_check.ts
+++ b/packages/gateway/src/grant_check.ts
@@ -1,6 +1,15 @@
 import type {RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {GatewayContext} from './gateway_context.js';
+import {checkLife} from './upstream_life.js';
+
+/** End to report for an upstream that is not in the life that is required. */
+const END_BY_LIFE = {
+  replaced: RUN_END.REPLACED,
+  unreachable: RUN_END.UNREACHABLE,
+  // A sound upstream may be silent for a while.
+  silent: RUN_END.CANCELLED,
+} as const;
 
 /** Why a granted upstream may not be used. */
 export interface UnusableGrant {
@@ -27,3 +36,30 @@
   const pauseLeftMs = upstreamStatements.pauseLeftMs(upstream);
   return pauseLeftMs > 0 ? {end: RUN_END.CANCELLED, pauseLeftMs} : null;
 }
+
+/**
+ * Asks a granted upstream whether it is in its registered life; the end to report
+ * if that is not confirmed, null if it is.
+ */
+export async function confirmLife(
+  upstream: UpstreamSpec,
+  requestId: string,
+  signal: AbortSignal,
+  {wireFormat, upstreamPaths, upstreamStatements, log}: GatewayContext,
+): Promise<RunEnd | null> {
+  const life = await checkLife(
+    upstream,
+    wireFormat,
+    upstreamPaths,
+    signal,
+    (head, socket) =>
+      upstreamStatements.recordResponse({upstream, head, socket, requestId}),
+  );
+  if (life === 'same') return null;
+  log.warn('upstream_life_unconfirmed', {
+    id: requestId,
+    upstream: upstream.instanceId,
+    life,
+  });
+  return signal.aborted ? RUN_END.CANCELLED : END_BY_LIFE[life];
+}
--- a/packages/gateway/src/stream_origin_directory.ts
+++ b/packages/gateway/src/stream_origin_directory.ts
@@ -2,8 +2,8 @@
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
 import {LRUCache} from 'lru-cache';
+import {GATEWAY_METHOD} from './constants.js';
 import {
-  GATEWAY_METHOD,
   MAX_STREAM_ORIGINS,
   ORIGIN_COPIES,
   ORIGIN_KEY_COUNT,
@@ -11,7 +11,7 @@
   ORIGIN_MEMBERS_ASKED,
   ORIGIN_SHARE_TIMEOUT_MS,
   STREAM_ORIGIN_TTL_MS,
-} from './constants.js';
+} from './stream_constants.js';
 import type {MemberDirectory} from './member_directory.js';
 import {ORIGIN_ANSWER_SCHEMA, ORIGIN_SHARED_SCHEMA} from './messages.js';
 import type {ArchiveLookup, StreamArchive} from './stream_archive.js';
--- a/packages/gateway/src/stream_resumption.test.ts
+++ b/packages/gateway/src/stream_resumption.test.ts
@@ -1,5 +1,5 @@
 import {beforeEach, describe, expect, it} from 'vitest';
-import {STREAM_ORIGIN_TTL_MS} from './constants.js';
+import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
 import {latestOrigin, VersionHistory} from './stream_origin.js';
 import {placeToResume} from './stream_resumption.js';
 
--- a/packages/gateway/src/stream_snapshot.ts
+++ b/packages/gateway/src/stream_snapshot.ts
@@ -2,7 +2,7 @@
 import {checkAgainstSchema, parseJson} from '@fescuespool/common';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
-import {MAX_STREAM_ID_LENGTH} from './constants.js';
+import {MAX_STREAM_ID_LENGTH} from './stream_constants.js';
 import type {StreamOrigin} from './stream_origin.js';
 
 const ID = z.string().max(MAX_STREAM_ID_LENGTH);
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -15,8 +15,6 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly agent: Agent;
-  /** Timeout in milliseconds for the response head; null for no limit. */
-  readonly startTimeoutMs: number | null;
   readonly signal: AbortSignal;
 }
 
@@ -36,8 +34,8 @@
     }
   /** The connection broke; the request may have run. */
   | {readonly kind: 'broken'; readonly cause: string}
-  | {readonly kind: 'silent'}
-  | {readonly kind: 'aborted'};
+  /** The signal was aborted, before or after the request was sent. */
+  | {readonly kind: 'aborted'; readonly isSent: boolean};
 
 /** Sends a request and waits for the response head. */
 export async function sendToUpstream(
@@ -52,7 +50,6 @@
     body: request.body,
     agent: request.agent,
     connectTimeoutMs: ANY_PATH_TIMEOUT_MS,
-    responseTimeoutMs: request.startTimeoutMs ?? undefined,
     signal: request.signal,
   });
   if (opened.isOk()) {
@@ -60,13 +57,13 @@
     const head = wireFormat.parseResponse(res.statusCode ?? 0, res.headers);
     return {kind: 'answered', exchange: opened.value, head};
   }
-  if (request.signal.aborted) return {kind: 'aborted'};
-  const {isUnsent, isTimeout, message} = opened.error;
+  const {isUnsent, message} = opened.error;
+  if (request.signal.aborted) return {kind: 'aborted', isSent: !isUnsent};
   if (isUnsent) {
     const isOwnFault = isOwnFaultIn(opened.error, request.upstream);
     return {kind: 'unreachable', cause: message, isOwnFault};
   }
-  return isTimeout ? {kind: 'silent'} : {kind: 'broken', cause: message};
+  return {kind: 'broken', cause: message};
 }
 
 /** Whether a failure to send says nothing against the upstream. */
