Refuse at once what no upstream that stays can serve

Callers of a service whose only entry is odd waited 1.5 s for each answer, also where their route allows 0.6 s, and got Retry-After 0.000; those of a service whose last engines are leaving waited out their whole time limit (2.96 s of 3 s) and were told to come back in 0.05 s, when no time was left.

Cause: a gateway counted as not yet configured while it knew of no upstream at all, though the store's list had been read, so that each request waited for MAX_STARTUP_WAIT_MS. The queue asked only whether it had upstreams, not whether any stays, so that requests were queued for none; those that waited already were kept when the last one left.

Before: 3 of 3 new tests failed: "expected 1507 to be less than 500", "expected '0.049' to be '1.000'", reason expired where no_upstream is due.

Change: the upstreams count as known once their list was read, even if it is empty. Without an upstream that stays, new and waiting requests are refused as no_upstream, which promises that they have not run, with Retry-After 1 s: callers keep the time to come back, and are served as soon as an engine has joined. Bound streams still get not resumable for want of their version.

After: 3 of 3; 200 tests of scheduling, the gateway, streams, restores and partitions pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -85,6 +85,8 @@
   private readonly upstreams = new UpstreamRegistry();
   private readonly upstreamLimits = new UpstreamLimits();
   private readonly configuredListeners = new Set<() => void>();
+  /** Whether the upstreams are known, even if there are none. */
+  private hasUpstreamList = false;
   private isStopping = false;
 
   constructor(private readonly options: GatewayOptions) {
@@ -223,6 +225,7 @@
 
   /** Replaces the registered upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
+    this.hasUpstreamList = true;
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(upstreams);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
@@ -314,7 +317,7 @@
   }
 
   private get isConfigured(): boolean {
-    return this.configState.current !== null && !this.upstreams.isEmpty;
+    return this.configState.current !== null && this.hasUpstreamList;
   }
 
   private async whenConfigured(): Promise<void> {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -18,7 +18,7 @@
 import {LatencyEstimator} from './latency_estimator.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
-import {hasRequiredVersion} from './required_version.js';
+import {hasRequiredVersion, lackOf} from './required_version.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
@@ -249,34 +249,35 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  /** Refuses requests that can't start in time, or whose version has gone. */
+  /** Refuses requests that can't start in time, or that nothing can serve. */
   private refuseUnplaceable(now: number): void {
-    const {EXPIRED, OVERLOADED, NO_VERSION} = QUEUE_REFUSAL;
-    const rateFor = this.rateEstimator(now);
-    const unplaceable = this.waiting.takeUnplaceable(now, rateFor);
-    const lost = this.waiting.takeWhere(
-      ({request}) => !this.hasVersion(request),
+    const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
+    const {staying} = this;
+    const unplaceable = this.waiting.takeUnplaceable(
+      now,
+      this.rateEstimator(now),
     );
-    for (const waiting of lost) this.refuse(waiting, NO_VERSION);
-    for (const waiting of unplaceable) {
+    const unserved = this.waiting.takeWhere(
+      ({request}) => lackOf(request, staying) !== null,
+    );
+    for (const waiting of [...unserved, ...unplaceable]) {
       const isExpired = waiting.placementDeadlineMs <= now;
-      this.refuse(waiting, isExpired ? EXPIRED : OVERLOADED);
+      const reason = isExpired ? EXPIRED : OVERLOADED;
+      this.refuse(waiting, lackOf(waiting.request, staying) ?? reason);
     }
   }
 
-  /** Whether any upstream that stays may serve the request by its version. */
-  private hasVersion(request: GrantRequest): boolean {
-    if (request.requiredVersion === null) return true;
-    return [...this.upstreams.values()].some(
-      ({spec}) => !spec.isLeaving && hasRequiredVersion(request, spec),
-    );
+  /** Upstreams that are not leaving. */
+  private get staying(): UpstreamSpec[] {
+    const specs = [...this.upstreams.values()].map(({spec}) => spec);
+    return specs.filter(({isLeaving}) => !isLeaving);
   }
 
   /** Reason to refuse a new request, or null if it may be queued. */
   private admit(waiting: WaitingRequest, now: number): QueueRefusal | null {
     const {request, placementDeadlineMs} = waiting;
-    if (this.upstreams.size === 0) return QUEUE_REFUSAL.NO_UPSTREAM;
-    if (!this.hasVersion(request)) return QUEUE_REFUSAL.NO_VERSION;
+    const lack = lackOf(request, this.staying);
+    if (lack) return lack;
     if (placementDeadlineMs <= now) return QUEUE_REFUSAL.EXPIRED;
     if (this.waiting.size >= MAX_WAITING) {
       const last = this.waiting.takeLastBelowTier(request.tier);
