--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,8 +96,10 @@
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
   private readonly upstreamLimits = new UpstreamLimits();
+  /** Whether the upstreams are known, even if there are none. */
+  private hasUpstreamList = false;
   private readonly startupGate = new StartupGate(
-    () => this.configState.current !== null && !this.upstreams.isEmpty,
+    () => this.configState.current !== null && this.hasUpstreamList,
   );
   private isStopping = false;
 
@@ -274,6 +276,7 @@
 
   /** Replaces the registered upstreams of all services. */
   setUpstreams(upstreams: UpstreamsByService): void {
+    this.hasUpstreamList = true;
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(this.upstreams.byService);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
