Keep the socket of a request whose body was refused while stopping

Callers saw: none was seen to; all requests open at a gateway that had SIGTERM would have ended without an answer.

Cause: the listener that closes a connection after its last response read the socket from the request. A request that was not read to its end, since its body is too large, has none any more, so that the listener threw outside of any handler, which ends the process.

Evidence, on the code before: planned_stop.test.ts failed with 'Uncaught Exception, TypeError: Cannot read properties of null (reading destroySoon)'.

Change: the socket is taken when the request comes.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -52,8 +52,10 @@
     const head = this.gateway.wireFormat.parseRequest(req);
     this.openCount++;
     if (this.isDraining) res.shouldKeepAlive = false;
+    // A request whose body was not read to its end has lost its socket by then.
+    const {socket} = req;
     res.once('finish', () => {
-      if (this.isClosing) req.socket.destroySoon();
+      if (this.isClosing) socket.destroySoon();
     });
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
