Give retries that get no upstream back to the retry budget

Callers saw: requests that could have gone on elsewhere got 502, or their streams were cut, with budget_spent though few retries had reached any upstream.

Cause: a retry was taken from the service's budget when it was submitted, also if the queue refused it or its caller cancelled it. Each search beside a silent upstream that goes on would have cost one.

Evidence, on the code before: 'is not used up by retries that are cancelled while they wait' failed with a refusal, and 'is not used up by retries that are refused an upstream' with another reason than no_version.

Change: a retry that is refused or cancelled before it is granted is given back. What was granted stays taken, so that no window sees more arrivals.

--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -160,6 +160,33 @@
     });
   });
 
+  describe('the retry budget', () => {
+    const budgetForTwo = (): QueueHarness => {
+      const harness = new QueueHarness([upstream('u')], 5);
+      harness.submit(grantRequest('running'));
+      return harness;
+    };
+
+    it('is not used up by retries that are cancelled while they wait', () => {
+      const harness = budgetForTwo();
+      for (const id of ['a', 'b', 'c']) {
+        harness.submit(grantRequest(id, {isRetry: true}));
+        harness.queue.cancel(id);
+      }
+      expect(harness.answers.get('c')).toBeUndefined();
+    });
+
+    it('is not used up by retries that are refused an upstream', () => {
+      const harness = budgetForTwo();
+      const changes = {isRetry: true, requiredVersion: 'gone'};
+      for (const id of ['a', 'b', 'c']) {
+        harness.submit(grantRequest(id, changes));
+        const {NO_VERSION} = QUEUE_REFUSAL;
+        expect(harness.answers.get(id)).toMatchObject({reason: NO_VERSION});
+      }
+    });
+  });
+
   describe('failing upstreams', () => {
     it('avoids an unreachable upstream until its backoff ends', () => {
       const harness = new QueueHarness([upstream('u', 5), upstream('v', 5)]);
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -135,7 +135,8 @@
 
   /** Removes a waiting request without answering it. */
   cancel(requestId: string): void {
-    this.waiting.remove(requestId);
+    const waiting = this.waiting.remove(requestId);
+    if (waiting?.request.isRetry) this.options.retryBudget.giveBack();
   }
 
   /** Records the first byte of a response in the upstream's state. */
@@ -297,7 +298,9 @@
         Math.ceil(RETRY_AFTER_WAIT_FACTOR * waitMs),
       ),
     );
-    this.refusedFingerprints.set(waiting.request.fingerprint, true);
+    const {fingerprint, isRetry} = waiting.request;
+    if (isRetry) this.options.retryBudget.giveBack();
+    this.refusedFingerprints.set(fingerprint, true);
     waiting.answer({kind: 'refused', reason, retryAfterMs});
   }
 
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -43,6 +43,11 @@
     return true;
   }
 
+  /** Returns a retry that was taken for a request that got no upstream. */
+  giveBack(): void {
+    this.tokens = Math.min(this.capacity, this.tokens + 1);
+  }
+
   /** Refills the fixed part over two windows, half of it in each. */
   private refill(nowMs: number): void {
     const passedMs = nowMs - (this.filledAtMs ?? nowMs);
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -42,13 +42,14 @@
     this.requests.splice(this.insertionIndexOf(waiting), 0, waiting);
   }
 
-  /** Removes a request if it is waiting. */
-  remove(requestId: string): void {
+  /** Removes and returns a request if it is waiting. */
+  remove(requestId: string): WaitingRequest | null {
     const waiting = this.byId.get(requestId);
-    if (!waiting) return;
+    if (!waiting) return null;
     this.byId.delete(requestId);
     if (isBoundToVersion(waiting)) this.boundCount--;
     this.requests.splice(this.requests.indexOf(waiting), 1);
+    return waiting;
   }
 
   /** Moves a request behind those of its tier that can meet their objective. */
