Take no limits or quotas from a configuration that is not applied

Callers saw: idle connections closed by a limit that no configuration in force had.

Cause: a configuration that is older than the one in force was passed over, but its quotas and its limits for connections were taken all the same.

Evidence, on the code before: 'is not changed by a configuration that is older than the one in force' in idle_limits.test.ts failed with 'expected 1 to be 2' (answers).

Change: nothing is taken from a configuration that did not become the one in force.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -222,6 +222,7 @@
   /** Activates a configuration unless its version is not newer. */
   applyConfig(cfg: GatewayConfig): void {
     this.configState.apply(cfg);
+    if (this.configState.current !== cfg) return;
     const now = this.options.clock.monotonicMs();
     for (const {name, quota} of cfg.accountsByKey.values()) {
       if (quota) this.context.quotaLedger.openBucket(name, quota, now);
