Answer all requests of a connection before a stopping gateway closes it

Callers saw: of two requests that were sent at once on one connection, the second was read, run, and ended with a closed connection, around a SIGTERM.

Cause: a gateway that stops closed the connection after the response to whichever request had finished, and announced the close with it, though another request of the connection had been read.

Change: the connection is closed after the response to its latest request, and only that one announces the close.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -1,6 +1,7 @@
 import {BodyTooLargeError, readBody} from '@fescuespool/transport';
 import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {admit, fingerprintOf} from './admission.js';
 import type {Admission} from './admission.js';
 import {
@@ -23,6 +24,8 @@
 export class CallerServer {
   private openCount = 0;
   private readonly idleListeners: Array<() => void> = [];
+  /** Response to the latest request of each connection. */
+  private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
   /** Whether responses close their connection, so that callers reconnect. */
   isDraining = false;
   /** Whether new requests are refused and connections are being closed. */
@@ -51,12 +54,7 @@
     const timer = new RequestTimer(this.gateway.clock, res);
     const head = this.gateway.wireFormat.parseRequest(req);
     this.openCount++;
-    if (this.isDraining) res.shouldKeepAlive = false;
-    // A request whose body was not read to its end has lost its socket by then.
-    const {socket} = req;
-    res.once('finish', () => {
-      if (this.isClosing) socket.destroySoon();
-    });
+    this.closeAfterLastResponse(req, res);
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
     let isCharged = false;
@@ -99,6 +97,23 @@
     this.finishRequest();
   }
 
+  /** Closes the connection after its last response while the gateway stops. */
+  private closeAfterLastResponse(
+    // A request whose body is not read to its end loses its socket.
+    {socket}: IncomingMessage,
+    res: ServerResponse,
+  ): void {
+    const previous = this.lastResponses.get(socket);
+    // A caller may send its next request before it has this response.
+    if (previous && !previous.headersSent) previous.shouldKeepAlive = true;
+    this.lastResponses.set(socket, res);
+    if (this.isDraining) res.shouldKeepAlive = false;
+    res.once('finish', () => {
+      const isLast = this.lastResponses.get(socket) === res;
+      if (this.isClosing && isLast) socket.destroySoon();
+    });
+  }
+
   private async readBody(req: IncomingMessage): Promise<Buffer> {
     const limit = this.gateway.configState.current?.limits.maxBodyBytes;
     try {
