--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -133,7 +133,8 @@
 
   /** Removes a waiting request without answering it. */
   cancel(requestId: string): void {
-    this.waiting.remove(requestId);
+    const waiting = this.waiting.remove(requestId);
+    if (waiting?.request.isRetry) this.options.retryBudget.giveBack();
   }
 
   /** Records the first byte of a response in the upstream's state. */
@@ -293,6 +294,7 @@
     const waitMs = this.expectedWaitMs(waiting, rates);
     const {request, answer} = waiting;
     const afterMs = retryAfterMs(waitMs, rates.rateFor(request));
+    if (request.isRetry) this.options.retryBudget.giveBack();
     this.refusedFingerprints.set(request.fingerprint, true);
     answer({kind: 'refused', reason, retryAfterMs: afterMs});
   }
