--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -11,6 +11,16 @@
   readonly send: number;
 }
 
+/** What is known of where a stream began. */
+export interface OriginLookup {
+  readonly origin: StreamOrigin | null;
+  /**
+   * Whether all that were asked have answered, so that null means that nobody
+   * knows.
+   */
+  readonly isCertain: boolean;
+}
+
 /** The origin that counts among those that several members know. */
 export function latestOrigin(
   origins: readonly (StreamOrigin | null)[],
@@ -50,6 +60,14 @@
     }
   }
 
+  /**
+   * Begins anew, as versions may have come and gone unseen; those that were seen
+   * are kept.
+   */
+  restart(): void {
+    this.sinceMs = null;
+  }
+
   /**
    * The only version of a service that was seen within STREAM_ORIGIN_TTL_MS; null
    * if there were several or none, or one is not known.
