--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -92,6 +92,7 @@
     try {
       await this.runToEnd();
     } finally {
+      this.returnHeldGrant();
       const isComplete = this.request.res.writableEnded;
       const began = resumedRequestId ?? requestId;
       this.gateway.streamArchive.end(began, isComplete);
@@ -106,15 +107,7 @@
         if (this.sendErrorResponse()) return;
         throw placed;
       }
-      const {upstreams} = this.gateway;
-      if (upstreams.isLeaving(placed.upstream)) {
-        this.returnGrant(placed, RUN_END.LEAVING);
-        continue;
-      }
-      if (upstreams.isReplaced(placed.upstream)) {
-        this.returnGrant(placed, RUN_END.REPLACED);
-        continue;
-      }
+      if (this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
@@ -151,11 +144,18 @@
       this.returnGrant(placement, RUN_END.CANCELLED);
       throw this.createNotResumableRefusal();
     }
-    const {wireFormat, upstreamPaths, log} = this.gateway;
+    const {wireFormat, upstreamPaths, upstreamStatements, log} = this.gateway;
     const {signal} = this.request.timer;
-    const life = await checkLife(upstream, wireFormat, upstreamPaths, signal);
-    if (life === 'same') return true;
     const {requestId} = this.request.head;
+    const life = await checkLife(
+      upstream,
+      wireFormat,
+      upstreamPaths,
+      signal,
+      (head, socket) =>
+        upstreamStatements.recordResponse({upstream, head, socket, requestId}),
+    );
+    if (life === 'same') return !this.returnUnusable(placement);
     log.warn('upstream_life_unconfirmed', {
       id: requestId,
       upstream: upstream.instanceId,
@@ -228,6 +228,13 @@
     );
     if (answer.kind === 'aborted') return this.createTimeoutRefusal();
     if (answer.kind === 'refused') {
+      this.gateway.log.info('grant_refused', {
+        id: head.requestId,
+        service: this.service,
+        reason: answer.reason,
+        version: this.progress.softwareVersion ?? undefined,
+        runs: this.possibleRuns,
+      });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
         return this.createNotResumableRefusal();
       }
@@ -259,6 +266,21 @@
     return answer.placement;
   }
 
+  /** Returns a grant whose upstream is known here to be leaving or replaced. */
+  private returnUnusable(placement: Placement): boolean {
+    const {upstreams} = this.gateway;
+    const {upstream} = placement;
+    if (upstreams.isLeaving(upstream)) {
+      this.returnGrant(placement, RUN_END.LEAVING);
+      return true;
+    }
+    if (upstreams.isReplaced(upstream)) {
+      this.returnGrant(placement, RUN_END.REPLACED);
+      return true;
+    }
+    return false;
+  }
+
   /**
    * Returns a grant unused: its upstream is leaving, which the dispatcher did not
    * know yet, or the request may not be sent any more.
@@ -270,8 +292,21 @@
       id: requestId,
       upstream: instanceId,
     });
+    this.reportUnused(end);
+  }
+
+  /** Returns the grant of a send whose end was not reported. */
+  private returnHeldGrant(): void {
+    const {requestId} = this.request.head;
+    const grantedBy = this.gateway.dispatchClient.granterOf(requestId);
+    if (grantedBy === undefined) return;
+    this.gateway.log.error('grant_left_over', {id: requestId, grantedBy});
+    this.reportUnused(RUN_END.CANCELLED);
+  }
+
+  private reportUnused(end: RunEnd): void {
     this.gateway.dispatchClient.reportEnd({
-      requestId,
+      requestId: this.request.head.requestId,
       end,
       runMs: 0,
       eventGapMs: null,
