Pin the messages that gateways of several builds exchange

Gateways of two builds run side by side during an upgrade, and nothing showed whether a changed message is still understood by the other build.

No break was found between them.

--- /dev/null
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -0,0 +1,306 @@
+import {MAX_CRASH_CAUSES} from '@fescuespool/coordination';
+import {
+  MAX_LIMITED_UPSTREAMS,
+  QUEUE_REFUSAL,
+  RUN_END,
+} from '@fescuespool/scheduling';
+import {describe, expect, it} from 'vitest';
+import type {z} from 'zod';
+import {GATEWAY_METHOD} from './constants.js';
+import {
+  CRASH_CAUSES_SCHEMA,
+  DEATH_SCHEMA,
+  ENDED_SCHEMA,
+  GRANT_ANSWER_SCHEMA,
+  GRANT_SCHEMA,
+  ORIGIN_ANSWER_SCHEMA,
+  ORIGIN_SHARED_SCHEMA,
+  PARTS_CLEARED_SCHEMA,
+  REPORT_SCHEMA,
+  REQUEST_REF_SCHEMA,
+  STARTED_SCHEMA,
+  STREAM_BEGAN_SCHEMA,
+  STREAM_ORIGIN_SCHEMA,
+  USAGE_ANSWER_SCHEMA,
+  USAGE_REPORT_SCHEMA,
+} from './messages.js';
+import {
+  EARLIER_CRASH_CAUSES,
+  EARLIER_LIMITED_UPSTREAMS,
+  EARLIER_SCHEMA,
+} from './test_support/earlier_schemas.js';
+
+const ITEM = {
+  requestId: 'r-1',
+  entryId: 'front-0',
+  zone: 'a',
+  tier: 11,
+  fingerprint: 'ZS6C38vThkZaIftBlwAgCt8fSDI=',
+  promptTokens: 0,
+  objectiveLeftMs: 182,
+  patienceLeftMs: 2_982,
+  isRepeatable: false,
+  isRetry: true,
+  excluded: ['i-9'],
+  avoidedZones: ['b'],
+};
+const UPSTREAM = {
+  instanceId: 'i-10',
+  address: '127.0.0.1:45081',
+  zone: 'a',
+  slots: 4,
+  isLeaving: false,
+  startedAtUnixMs: 1_796_455_763_744,
+};
+const PLACEMENT = {
+  expectedStartMs: 23.95,
+  waitedMs: 0.02,
+  freeSlots: 3,
+  isOnTrial: false,
+};
+const LIMIT = {
+  instanceId: 'i-10',
+  startedAtUnixMs: null,
+  perSecond: 2.5,
+  ageMs: 40,
+};
+const ENDED = {
+  requestId: 'r-1',
+  runMs: 134,
+  eventGapMs: 15.18,
+  load: {running: 1, waiting: 0},
+};
+const ORIGIN = {service: 'app', softwareVersion: 'v1', send: 1};
+const CAUSES = {causes: [{part: 'dead01', remainingMs: 300_000}]};
+
+/** Messages of builds since rate limits, each with the defaults of later fields. */
+const EARLIER_MESSAGES: readonly [string, z.ZodType, object | true, object?][] =
+  [
+    [
+      'grant request',
+      GRANT_SCHEMA,
+      {service: 'app', item: ITEM},
+      {item: {requiredVersion: null}},
+    ],
+    [
+      'grant request for a version',
+      GRANT_SCHEMA,
+      {service: 'app', item: {...ITEM, requiredVersion: 'v1'}},
+    ],
+    [
+      'grant',
+      GRANT_ANSWER_SCHEMA,
+      {kind: 'placed', placement: {upstream: UPSTREAM, ...PLACEMENT}},
+      {placement: {upstream: {softwareVersion: null}, rateLimitPerS: null}},
+    ],
+    [
+      'grant at a version',
+      GRANT_ANSWER_SCHEMA,
+      {
+        kind: 'placed',
+        placement: {
+          upstream: {...UPSTREAM, softwareVersion: 'v1'},
+          ...PLACEMENT,
+          rateLimitPerS: 2.5,
+        },
+      },
+    ],
+    ...[
+      'overloaded',
+      'expired',
+      'no_upstream',
+      'no_version',
+      'budget_spent',
+    ].map((reason): [string, z.ZodType, object] => [
+      `refusal ${reason}`,
+      GRANT_ANSWER_SCHEMA,
+      {kind: 'refused', reason, retryAfterMs: 250},
+    ]),
+    ['moved queue', GRANT_ANSWER_SCHEMA, {kind: 'moved'}],
+    ['cancel', REQUEST_REF_SCHEMA, {service: 'app', requestId: 'r-1'}],
+    [
+      'start',
+      STARTED_SCHEMA,
+      {service: 'app', report: {requestId: 'r-1', startMs: 13, load: null}},
+    ],
+    ...[
+      'completed',
+      'rejected',
+      'leaving',
+      'replaced',
+      'failed',
+      'broken',
+      'unreachable',
+      'silent',
+      'cancelled',
+    ].map((end): [string, z.ZodType, object] => [
+      `end ${end}`,
+      ENDED_SCHEMA,
+      {service: 'app', report: {...ENDED, end}},
+    ]),
+    [
+      'report before rate limits',
+      REPORT_SCHEMA,
+      {
+        service: 'app',
+        entryId: 'front-2',
+        runs: [{requestId: 'r-1', instanceId: 'i-10'}],
+      },
+      {limits: []},
+    ],
+    [
+      'report before limits of rejections',
+      REPORT_SCHEMA,
+      {service: 'app', entryId: 'front-2', runs: [], limits: [LIMIT]},
+      {limits: [{maxRejectionsPerS: null}]},
+    ],
+    [
+      'usage',
+      USAGE_REPORT_SCHEMA,
+      {memberId: 'front-1', usage: {importer: 2.5}},
+      {configVersion: -1},
+    ],
+    [
+      'answer to usage',
+      USAGE_ANSWER_SCHEMA,
+      {others: {importer: 4}, heard: null},
+      {newestConfig: -1},
+    ],
+    [
+      'death',
+      DEATH_SCHEMA,
+      {
+        fingerprint: 'hy9RbrC/shmGnlQraSuCsrouV2U=',
+        instanceId: 'i-12',
+        suspectParts: ['aa02', 'dead01'],
+      },
+    ],
+    ['cleared parts', PARTS_CLEARED_SCHEMA, {parts: ['aa01']}],
+    ['crash causes', CRASH_CAUSES_SCHEMA, CAUSES],
+    ['begun stream', STREAM_BEGAN_SCHEMA, {requestId: 'r-1', origin: ORIGIN}],
+    ['taken origin', ORIGIN_SHARED_SCHEMA, true],
+    ['question for an origin', STREAM_ORIGIN_SCHEMA, {requestId: 'r-1'}],
+    ['origin', ORIGIN_ANSWER_SCHEMA, {origin: ORIGIN}],
+    ['unknown origin', ORIGIN_ANSWER_SCHEMA, {origin: null}],
+  ];
+
+/** Messages in the form that this build sends, by the types of its schemas. */
+const GRANT: z.input<typeof GRANT_SCHEMA> = {
+  service: 'app',
+  item: {...ITEM, requiredVersion: 'v1'},
+};
+const GRANTED: z.input<typeof GRANT_ANSWER_SCHEMA> = {
+  kind: 'placed',
+  placement: {
+    upstream: {...UPSTREAM, softwareVersion: 'v1'},
+    ...PLACEMENT,
+    rateLimitPerS: null,
+  },
+};
+const STARTED: z.input<typeof STARTED_SCHEMA> = {
+  service: 'app',
+  report: {requestId: 'r-1', startMs: 13, load: null},
+};
+const REPORT: z.input<typeof REPORT_SCHEMA> = {
+  service: 'app',
+  entryId: 'front-0',
+  runs: [{requestId: 'r-1', instanceId: 'i-10'}],
+  limits: [{...LIMIT, maxRejectionsPerS: 4}],
+};
+const USAGE: z.input<typeof USAGE_REPORT_SCHEMA> = {
+  memberId: 'front-0',
+  usage: {importer: 2.5},
+  configVersion: 3,
+};
+const USAGE_ANSWER: z.input<typeof USAGE_ANSWER_SCHEMA> = {
+  others: {importer: 4},
+  heard: 3,
+  newestConfig: 3,
+};
+const DEATH: z.input<typeof DEATH_SCHEMA> = {
+  fingerprint: 'hy9RbrC/shmGnlQraSuCsrouV2U=',
+  instanceId: 'i-12',
+  suspectParts: ['aa02'],
+};
+
+describe('messages between builds', () => {
+  describe('from an earlier build', () => {
+    for (const [name, schema, message, added = {}] of EARLIER_MESSAGES) {
+      it(`understands a ${name}`, () => {
+        const parsed = schema.parse(message);
+        if (message === true) expect(parsed).toBe(true);
+        else {
+          expect(parsed).toMatchObject(message);
+          expect(parsed).toMatchObject(added);
+        }
+      });
+    }
+  });
+
+  describe('to an earlier build', () => {
+    // Only a request that requires a version is refused for want of one.
+    const refusals = Object.values(QUEUE_REFUSAL).filter(
+      reason => reason !== QUEUE_REFUSAL.NO_VERSION,
+    );
+    const messages: readonly [string, z.ZodType, z.ZodType, unknown][] = [
+      ['grant request', GRANT_SCHEMA, EARLIER_SCHEMA.GRANT, GRANT],
+      ['grant', GRANT_ANSWER_SCHEMA, EARLIER_SCHEMA.GRANT_ANSWER, GRANTED],
+      ...refusals.map((reason): [string, z.ZodType, z.ZodType, unknown] => [
+        `refusal ${reason}`,
+        GRANT_ANSWER_SCHEMA,
+        EARLIER_SCHEMA.GRANT_ANSWER,
+        {kind: 'refused', reason, retryAfterMs: 250},
+      ]),
+      ['start', STARTED_SCHEMA, EARLIER_SCHEMA.STARTED, STARTED],
+      ...Object.values(RUN_END).map(
+        (end): [string, z.ZodType, z.ZodType, unknown] => [
+          `end ${end}`,
+          ENDED_SCHEMA,
+          EARLIER_SCHEMA.ENDED,
+          {service: 'app', report: {...ENDED, end}},
+        ],
+      ),
+      ['report', REPORT_SCHEMA, EARLIER_SCHEMA.REPORT, REPORT],
+      ['usage', USAGE_REPORT_SCHEMA, EARLIER_SCHEMA.USAGE, USAGE],
+      [
+        'answer to usage',
+        USAGE_ANSWER_SCHEMA,
+        EARLIER_SCHEMA.USAGE_ANSWER,
+        USAGE_ANSWER,
+      ],
+      ['death', DEATH_SCHEMA, EARLIER_SCHEMA.DEATH, DEATH],
+      ['crash causes', CRASH_CAUSES_SCHEMA, EARLIER_SCHEMA.CAUSES, CAUSES],
+    ];
+    for (const [name, schema, earlier, message] of messages) {
+      it(`sends a ${name} that it understands`, () => {
+        const sent = schema.parse(message);
+        expect(sent).toMatchObject(earlier.parse(sent) as object);
+      });
+    }
+
+    it('sends no longer lists than it takes', () => {
+      expect(MAX_LIMITED_UPSTREAMS).toBeLessThanOrEqual(
+        EARLIER_LIMITED_UPSTREAMS,
+      );
+      expect(MAX_CRASH_CAUSES).toBeLessThanOrEqual(EARLIER_CRASH_CAUSES);
+    });
+
+    it('calls methods by the names that it knows', () => {
+      expect(GATEWAY_METHOD).toMatchObject({
+        PING: 'gateway.ping',
+        GRANT: 'gateway.grant',
+        CANCEL: 'gateway.cancel',
+        STARTED: 'gateway.started',
+        ENDED: 'gateway.ended',
+        REPORT: 'gateway.report',
+        USAGE: 'gateway.usage',
+        DEATH: 'gateway.death',
+        PARTS_CLEARED: 'gateway.parts_cleared',
+        CRASH_CAUSES_FOUND: 'gateway.crash_causes_found',
+        CRASH_CAUSES: 'gateway.crash_causes',
+        STREAM_BEGAN: 'gateway.stream_began',
+        STREAM_ORIGIN: 'gateway.stream_origin',
+      });
+    });
+  });
+});
