Understand refusals and ends that only a later build knows

An entry that gets a refusal with a reason it does not know takes the answer for malformed, suspects the queue's owner and asks the next one; an owner that gets an unknown end drops the report, and the slot stays taken until the entry's next list of runs. Neither happens between the builds of the history, but the first reason or end that is added would do so in each rolling upgrade.

Unknown reasons count as overload, with the Retry-After of the answer; unknown ends free the slot and are no evidence about the upstream.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -15,6 +15,14 @@
 
 const LOAD = z.object({running: COUNT, waiting: COUNT}).nullable();
 
+/** A reason that only a later build knows is still a refusal. */
+const REFUSAL_REASON = z
+  .enum(QUEUE_REFUSAL)
+  .or(ID.transform(() => QUEUE_REFUSAL.OVERLOADED));
+
+/** An end that only a later build knows frees the slot and proves nothing. */
+const REPORTED_END = z.enum(RUN_END).or(ID.transform(() => RUN_END.CANCELLED));
+
 /** Params of a grant request; times count from when it is sent. */
 export const GRANT_SCHEMA = z.object({
   service: ID,
@@ -58,7 +66,7 @@
   }),
   z.object({
     kind: z.literal('refused'),
-    reason: z.enum(QUEUE_REFUSAL),
+    reason: REFUSAL_REASON,
     retryAfterMs: MILLISECONDS,
   }),
   z.object({kind: z.literal('moved')}),
@@ -78,7 +86,7 @@
   service: ID,
   report: z.object({
     requestId: ID,
-    end: z.enum(RUN_END),
+    end: REPORTED_END,
     runMs: MILLISECONDS,
     eventGapMs: MILLISECONDS.nullable(),
     load: LOAD,
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -303,4 +303,20 @@
       });
     });
   });
+
+  describe('from a later build', () => {
+    it('frees the slot of a run whose end it does not know', () => {
+      const message = {service: 'app', report: {...ENDED, end: 'later'}};
+      const {report} = ENDED_SCHEMA.parse(message);
+      expect(report).toEqual({...ENDED, end: RUN_END.CANCELLED});
+    });
+
+    it('takes a refusal for a reason that it does not know for no failure', () => {
+      const message = {kind: 'refused', reason: 'later', retryAfterMs: 250};
+      expect(GRANT_ANSWER_SCHEMA.parse(message)).toEqual({
+        ...message,
+        reason: QUEUE_REFUSAL.OVERLOADED,
+      });
+    });
+  });
 });
