Pin what builds share in the store, the relay and key ownership

A change of one of them would pass all tests of one build.

The ranking of members is that of both builds (packages/coordination/src/rendezvous.ts has not changed).

--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -1,12 +1,13 @@
-import {MAX_CRASH_CAUSES} from '@fescuespool/coordination';
+import {MAX_CRASH_CAUSES, rankMembers} from '@fescuespool/coordination';
 import {
   MAX_LIMITED_UPSTREAMS,
   QUEUE_REFUSAL,
   RUN_END,
 } from '@fescuespool/scheduling';
+import {TUNNEL_STATUS} from '@fescuespool/transport';
 import {describe, expect, it} from 'vitest';
 import type {z} from 'zod';
-import {GATEWAY_METHOD} from './constants.js';
+import {GATEWAY_METHOD, ORIGIN_KEY_COUNT, USAGE_HUB_KEY} from './constants.js';
 import {
   CRASH_CAUSES_SCHEMA,
   DEATH_SCHEMA,
@@ -21,9 +22,11 @@
   STARTED_SCHEMA,
   STREAM_BEGAN_SCHEMA,
   STREAM_ORIGIN_SCHEMA,
+  UPSTREAM_NOTICE_SCHEMA,
   USAGE_ANSWER_SCHEMA,
   USAGE_REPORT_SCHEMA,
 } from './messages.js';
+import {decodeSnapshot} from './stream_snapshot.js';
 import {
   EARLIER_CRASH_CAUSES,
   EARLIER_LIMITED_UPSTREAMS,
@@ -116,6 +119,27 @@
       GRANT_ANSWER_SCHEMA,
       {kind: 'refused', reason, retryAfterMs: 250},
     ]),
+    [
+      'report of an upstream that leaves',
+      REPORT_SCHEMA,
+      {
+        service: 'app',
+        entryId: 'front-2',
+        runs: [],
+        limits: [],
+        leaving: [{instanceId: 'i-10', startedAtUnixMs: null}],
+      },
+    ],
+    [
+      'notice to a neighbour',
+      UPSTREAM_NOTICE_SCHEMA,
+      {
+        senderId: 'front-2',
+        instanceId: 'i-10',
+        startedAtUnixMs: null,
+        isLeaving: true,
+      },
+    ],
     ['moved queue', GRANT_ANSWER_SCHEMA, {kind: 'moved'}],
     ['cancel', REQUEST_REF_SCHEMA, {service: 'app', requestId: 'r-1'}],
     [
@@ -320,3 +344,39 @@
     });
   });
 });
+
+describe('what builds agree on without a message', () => {
+  it('is the owner of each key', () => {
+    const ids = ['front-0', 'front-1', 'front-2', 'front-3'];
+    const owners = [
+      'app',
+      USAGE_HUB_KEY,
+      'store-watch',
+      'stream-origins-7',
+    ].map(key => rankMembers(ids, key).join(' '));
+    expect(owners).toEqual([
+      'front-1 front-3 front-0 front-2',
+      'front-0 front-2 front-1 front-3',
+      'front-3 front-0 front-2 front-1',
+      'front-0 front-2 front-1 front-3',
+    ]);
+    expect(ORIGIN_KEY_COUNT).toBe(64);
+  });
+
+  it('is what the statuses of tunnels mean', () => {
+    expect(TUNNEL_STATUS).toMatchObject({
+      OPEN: 200,
+      FORBIDDEN: 403,
+      UNREACHABLE: 502,
+      UNAVAILABLE: 503,
+    });
+  });
+
+  it('is the form of the snapshots of streams', () => {
+    const json =
+      '{"streams":[{"service":"app","softwareVersion":"v1",' +
+      '"begunBy":[["r-1",2]],"later":1}],"later":1}';
+    const decoded = decodeSnapshot('snapshot', Buffer.from(json));
+    expect(decoded._unsafeUnwrap()).toEqual([['r-1', {...ORIGIN, send: 2}]]);
+  });
+});
