--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -85,60 +85,6 @@
 /** Timeout in milliseconds of that call. */
 export const CRASH_CAUSE_PULL_TIMEOUT_MS = 500;
 
-/**
- * Time in milliseconds for which the origin of a stream is kept: longer than
- * callers wait for a stream.
- */
-export const STREAM_ORIGIN_TTL_MS = 120_000;
-
-/** Number of streams whose origins a member keeps; bounds memory. */
-export const MAX_STREAM_ORIGINS = 16_384;
-
-/**
- * Time in milliseconds for which the snapshots keep a stream that broke off:
- * callers come back within their time limits.
- */
-export const BROKEN_STREAM_TTL_MS = 30_000;
-
-/** Number of streams in a member's snapshot; bounds its size. */
-export const MAX_ARCHIVED_STREAMS = 4_096;
-
-/** Longest request id in characters of a stream that is archived. */
-export const MAX_STREAM_ID_LENGTH = 128;
-
-/** Shortest interval in milliseconds of a member's snapshots. */
-export const MIN_SNAPSHOT_INTERVAL_MS = 200;
-
-/** That interval in milliseconds while snapshots can't be stored. */
-export const SNAPSHOT_RETRY_MS = 1_000;
-
-/**
- * Snapshot interval in milliseconds per member of the cluster: limits the load of
- * the platform's store to 100 snapshots per second at any cluster size.
- */
-export const SNAPSHOT_INTERVAL_PER_MEMBER_MS = 10;
-
-/**
- * Interval in milliseconds at which an unchanged snapshot is stored again: a third
- * of the time for which the platform's store keeps it.
- */
-export const SNAPSHOT_REFRESH_MS = STREAM_ORIGIN_TTL_MS / 3;
-
-/**
- * Time in milliseconds that a resumed stream waits for a confirmation that no
- * upstream of another version has joined.
- */
-export const VERSION_CONFIRMATION_TIMEOUT_MS = 700;
-
-/** Number of other members that get a copy of a stream's origin. */
-export const ORIGIN_COPIES = 2;
-
-/** Number of members that are asked for the origin of a stream. */
-export const ORIGIN_MEMBERS_ASKED = 5;
-
-/** Number of keys that streams are spread over to choose these members. */
-export const ORIGIN_KEY_COUNT = 64;
-
 /**
  * Timeout in milliseconds of asking an upstream when it started: sound ones may be
  * silent for a second.
@@ -148,12 +94,6 @@
 /** Largest response in bytes to that question. */
 export const MAX_LIFE_RESPONSE_BYTES = 262_144;
 
-/** Time in milliseconds that a first event waits for a copy of the origin. */
-export const ORIGIN_SHARE_TIMEOUT_MS = 60;
-
-/** Timeout in milliseconds of asking a member for an origin. */
-export const ORIGIN_LOOKUP_TIMEOUT_MS = 150;
-
 /** Interval in milliseconds at which queues check for expired requests. */
 export const QUEUE_TICK_INTERVAL_MS = 25;
 
@@ -338,6 +278,21 @@
  */
 export const MAX_REMOVED_UPSTREAMS = 4_096;
 
+/** Number of upstreams that a grant request may exclude. */
+export const MAX_EXCLUDED_UPSTREAMS = 64;
+
+/**
+ * Time in milliseconds by which a pause that an upstream asks for must be longer
+ * than known to be reported at once.
+ */
+export const MIN_PAUSE_CHANGE_MS = 100;
+
+/**
+ * First time in milliseconds to wait after a grant was returned because its
+ * upstream is paused; it doubles, as the dispatcher may not know of pauses.
+ */
+export const PAUSED_GRANT_DELAY_MS = 25;
+
 /** Number of upstreams that one run report names as leaving. */
 export const MAX_LEAVING_REPORTED = 1_024;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -159,7 +159,7 @@
       connect,
       random: Math.random,
       addresses: () => this.upstreams.addresses,
-      isDeclined: address => this.upstreams.isLeavingAt(address),
+      isDeclined: address => this.context.upstreamStatements.declines(address),
       isStopping: () => this.isStopping,
     });
     this.context = {
@@ -188,16 +188,20 @@
       ),
       upstreamPaths,
       upstreams: this.upstreams,
-      upstreamStatements: new UpstreamStatements(
+      upstreamStatements: new UpstreamStatements({
+        clock,
         log,
-        this.upstreams,
-        upstreamPaths,
-        new NeighbourNotices(log, members, network),
-        instanceId => {
+        memberId: settings.memberId,
+        upstreams: this.upstreams,
+        pauses: this.dispatcher.pauses,
+        paths: upstreamPaths,
+        neighbours: new NeighbourNotices(clock, log, members, network),
+        onLeaving: instanceId => {
           this.dispatcher.setUpstreams(this.upstreams.byService);
           dispatchClient.reportNow(instanceId);
         },
-      ),
+        onPause: instanceId => dispatchClient.reportNow(instanceId),
+      }),
       whenConfigured: () => this.startupGate.whenOpen(),
       random: Math.random,
       metrics: this.metrics,
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -7,7 +7,7 @@
 import {TUNNEL_STATUS} from '@fescuespool/transport';
 import {describe, expect, it} from 'vitest';
 import type {z} from 'zod';
-import {GATEWAY_METHOD, ORIGIN_KEY_COUNT, USAGE_HUB_KEY} from './constants.js';
+import {GATEWAY_METHOD, USAGE_HUB_KEY} from './constants.js';
 import {
   CRASH_CAUSES_SCHEMA,
   DEATH_SCHEMA,
@@ -26,6 +26,7 @@
   USAGE_ANSWER_SCHEMA,
   USAGE_REPORT_SCHEMA,
 } from './messages.js';
+import {ORIGIN_KEY_COUNT} from './stream_constants.js';
 import {decodeSnapshot} from './stream_snapshot.js';
 import {
   EARLIER_CRASH_CAUSES,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,38 +1,34 @@
-import type {GrantRequest, Placement, RunEnd} from '@fescuespool/scheduling';
+import {sleep} from '@fescuespool/common';
+import type {GrantRequest, RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
 import {
   MIN_RETRY_AFTER_MS,
   QUEUE_REFUSAL,
   RUN_END,
 } from '@fescuespool/scheduling';
-import {tierOf} from './admission.js';
-import {GATEWAY_REFUSAL, MAX_REJECTED_SENDS} from './constants.js';
-import {GatewayRefusalError} from './errors.js';
+import {
+  GATEWAY_REFUSAL,
+  MAX_EXCLUDED_UPSTREAMS,
+  MAX_REJECTED_SENDS,
+  PAUSED_GRANT_DELAY_MS,
+} from './constants.js';
+import {GatewayRefusalError, toGatewayRefusal} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import type {Grant} from './grant.js';
+import {logPlacement, returnGrant} from './grant.js';
+import {checkGrant, confirmLife} from './grant_check.js';
+import {createGrantRequest} from './grant_request.js';
 import type {OpenRequest} from './open_request.js';
-import {
-  callerPatienceMs,
-  isRepeatable,
-  isStream,
-  sendBufferedResponse,
-} from './open_request.js';
+import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import {seekOtherUpstream} from './other_upstream.js';
 import {pickTarget} from './route_table.js';
 import {findResumePlace} from './resume_place.js';
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
-import type {GatewayRefusal} from './types.js';
+import {TriedUpstreams} from './tried_upstreams.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
-import {checkLife} from './upstream_life.js';
 import type {BufferedResponse} from './upstream_send.js';
 
-/** End to report for an upstream that is not in the life that is required. */
-const END_BY_LIFE = {
-  replaced: RUN_END.REPLACED,
-  unreachable: RUN_END.UNREACHABLE,
-  // A sound upstream may be silent for a while.
-  silent: RUN_END.CANCELLED,
-} as const;
-
 /**
  * Runs one request: waits for a placement, sends the request to that upstream,
  * and retries where the route permits it.
@@ -44,11 +40,17 @@
   private possibleRuns = 0;
   private sends = 0;
   private queuedMs = 0;
+  /** Grants returned because their upstreams were paused. */
+  private pausedGrants = 0;
   private errorResponse: BufferedResponse | null = null;
-  private readonly excluded: string[] = [];
-  private readonly avoidedZones: string[] = [];
+  private readonly tried: TriedUpstreams;
   private readonly progress: StreamProgress;
   private service: string;
+  private searches = 0;
+  /** Grant of the last send. */
+  private grant: Grant | null = null;
+  /** Grant of an upstream that takes over from a silent one. */
+  private nextGrant: Grant | null = null;
 
   constructor(
     private readonly gateway: GatewayContext,
@@ -62,6 +64,7 @@
       firstEventMs: null,
       hasSurvived: false,
     };
+    this.tried = new TriedUpstreams(gateway.members.localMember.zone);
     const draw = gateway.random();
     this.service =
       pickTarget(request.admission.route.targets, draw)?.service ?? '';
@@ -90,8 +93,10 @@
   async run(): Promise<void> {
     const {resumedRequestId, requestId} = this.request.head;
     try {
-      await this.runToEnd();
+      await this.bindToOrigin();
+      await this.runUntilEnd();
     } finally {
+      this.returnNextGrant();
       this.returnHeldGrant();
       const isComplete = this.request.res.writableEnded;
       const began = resumedRequestId ?? requestId;
@@ -99,15 +104,15 @@
     }
   }
 
-  private async runToEnd(): Promise<void> {
-    await this.bindToOrigin();
+  private async runUntilEnd(): Promise<void> {
     for (;;) {
-      const placed = await this.place();
+      const placed = this.takeNextGrant() ?? (await this.place());
       if (placed instanceof GatewayRefusalError) {
         if (this.sendErrorResponse()) return;
         throw placed;
       }
-      if (this.returnUnusable(placed)) continue;
+      this.grant = placed;
+      if (await this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
@@ -135,7 +140,7 @@
    * Whether an upstream has the version that a stream is bound to; if not, its
    * grant has been returned. Throws a GatewayRefusalError if another can't help.
    */
-  private async isAtRequiredVersion(placement: Placement): Promise<boolean> {
+  private async isAtRequiredVersion(placement: Grant): Promise<boolean> {
     const {softwareVersion} = this.progress;
     if (softwareVersion === null) return true;
     const {upstream} = placement;
@@ -144,32 +149,17 @@
       this.returnGrant(placement, RUN_END.CANCELLED);
       throw this.createNotResumableRefusal();
     }
-    const {wireFormat, upstreamPaths, upstreamStatements, log} = this.gateway;
-    const {signal} = this.request.timer;
+    if (softwareVersion === placement.confirmedVersion) return true;
     const {requestId} = this.request.head;
-    const life = await checkLife(
-      upstream,
-      wireFormat,
-      upstreamPaths,
-      signal,
-      (head, socket) =>
-        upstreamStatements.recordResponse({upstream, head, socket, requestId}),
-    );
-    if (life === 'same') return !this.returnUnusable(placement);
-    log.warn('upstream_life_unconfirmed', {
-      id: requestId,
-      upstream: upstream.instanceId,
-      life,
-    });
-    this.returnGrant(
-      placement,
-      signal.aborted ? RUN_END.CANCELLED : END_BY_LIFE[life],
-    );
-    this.excluded.push(upstream.instanceId);
+    const {signal} = this.request.timer;
+    const end = await confirmLife(upstream, requestId, signal, this.gateway);
+    if (end === null) return !(await this.returnUnusable(placement));
+    this.returnGrant(placement, end);
+    this.tried.exclude(upstream.instanceId);
     return false;
   }
 
-  private async attempt(placement: Placement): Promise<SendOutcome> {
+  private async attempt(placement: Grant): Promise<SendOutcome> {
     const {route} = this.request.admission;
     const mayRepeat =
       isRepeatable(route) && this.possibleRuns + 1 < route.maxAttempts;
@@ -179,31 +169,87 @@
       this.request,
       placement,
       this.progress,
-      {mayRepeat, service: this.service, send: this.sends},
+      {
+        seekOther: mayRepeat
+          ? (signal, onFound) =>
+              this.seekOther(placement.upstream, signal, onFound)
+          : null,
+        service: this.service,
+        send: this.sends,
+      },
     );
     const outcome = await attempt.run();
     if (outcome.mayHaveArrived) this.possibleArrivals++;
     if (outcome.mayHaveRun) this.possibleRuns++;
     if (outcome.errorResponse) this.errorResponse = outcome.errorResponse;
-    if (!outcome.isDone) this.excludeUpstream(placement, outcome);
+    if (!outcome.isDone) this.tried.recordFailure(placement.upstream, outcome);
+    const {softwareVersion} = this.progress;
+    // The stream may have begun just before it was abandoned.
+    if (this.nextGrant?.confirmedVersion !== softwareVersion) {
+      this.returnNextGrant();
+    }
     return outcome;
   }
 
-  private excludeUpstream({upstream}: Placement, outcome: SendOutcome): void {
-    this.excluded.push(upstream.instanceId);
-    const isOtherZone = upstream.zone !== this.gateway.members.localMember.zone;
-    const hasConnection =
-      outcome.errorResponse !== null || !outcome.isConnectionFailure;
-    if (isOtherZone && !hasConnection) this.avoidedZones.push(upstream.zone);
+  /** Looks for an upstream that takes over from one that is silent. */
+  private async seekOther(
+    {instanceId}: UpstreamSpec,
+    signal: AbortSignal,
+    onFound: () => void,
+  ): Promise<void> {
+    if (!this.mayGoOnElsewhere) return;
+    const {requestId} = this.request.head;
+    const excluded = [...this.tried.excluded, instanceId];
+    const request = {
+      ...this.createGrantRequest(),
+      // The silent upstream's grant keeps the request's own id.
+      requestId: `${requestId}~${++this.searches}`,
+      isRetry: true,
+      excluded: excluded.slice(-MAX_EXCLUDED_UPSTREAMS),
+    };
+    const {gateway, service} = this;
+    const grant = await seekOtherUpstream(
+      gateway,
+      requestId,
+      service,
+      request,
+      signal,
+    );
+    if (!grant) return;
+    if (signal.aborted) {
+      returnGrant(gateway, requestId, grant, RUN_END.CANCELLED);
+      return;
+    }
+    this.nextGrant = grant;
+    this.logPlacement(grant);
+    onFound();
   }
 
-  private canRetry(outcome: SendOutcome): boolean {
-    const {timer, admission} = this.request;
+  private takeNextGrant(): Grant | null {
+    const grant = this.nextGrant;
+    this.nextGrant = null;
+    return grant;
+  }
+
+  /** Returns the grant of an upstream that is not needed any more. */
+  private returnNextGrant(): void {
+    const grant = this.takeNextGrant();
+    if (grant) this.returnGrant(grant, RUN_END.CANCELLED);
+  }
+
+  /** Whether another upstream could do what is left of the request. */
+  private get mayGoOnElsewhere(): boolean {
+    const {timer} = this.request;
     if (timer.isOver || this.sends > MAX_REJECTED_SENDS) return false;
     // Another upstream could only go on if the version that began were known.
     const {firstEventMs, softwareVersion} = this.progress;
-    if (firstEventMs !== null && softwareVersion === null) return false;
+    return firstEventMs === null || softwareVersion !== null;
+  }
+
+  private canRetry(outcome: SendOutcome): boolean {
+    if (!this.mayGoOnElsewhere) return false;
     if (!outcome.mayHaveRun) return true;
+    const {admission} = this.request;
     return (
       isRepeatable(admission.route) &&
       this.possibleRuns < admission.route.maxAttempts
@@ -211,7 +257,7 @@
   }
 
   /** Waits for a placement; returns a refusal if none is granted. */
-  private async place(): Promise<Placement | GatewayRefusalError> {
+  private async place(): Promise<Grant | GatewayRefusalError> {
     const {timer, head} = this.request;
     const startMs = this.gateway.clock.monotonicMs();
     const answer = await this.gateway.dispatchClient.acquire(
@@ -246,101 +292,59 @@
         retryAfterMs,
       );
     }
-    const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} =
-      answer.placement;
-    const {dispatchClient, limitObserver, upstreamPaths} = this.gateway;
-    this.gateway.log.info('placed', {
-      id: head.requestId,
-      service: this.service,
-      upstream: upstream.instanceId,
-      waitedMs: Math.round(waitedMs),
-      freeSlots,
-      isOnTrial,
-      expectedStartMs: Math.round(expectedStartMs),
-      send: this.sends + 1,
-      version: upstream.softwareVersion ?? undefined,
-      grantedBy: dispatchClient.granterOf(head.requestId),
-      isTunnelled: upstreamPaths.usesTunnel(upstream.address) || undefined,
-      limitPerS: limitObserver.limitToldBy(upstream) ?? undefined,
-    });
-    return answer.placement;
+    const {requestId: grantId} = head;
+    const grant = {...answer.placement, grantId, confirmedVersion: null};
+    this.logPlacement(grant);
+    return grant;
   }
 
-  /** Returns a grant whose upstream is known here to be leaving or replaced. */
-  private returnUnusable(placement: Placement): boolean {
-    const {upstreams} = this.gateway;
+  private logPlacement(grant: Grant): void {
+    const {requestId: id} = this.request.head;
+    const {gateway, service, sends} = this;
+    logPlacement(gateway, grant, {id, service, send: sends + 1});
+  }
+
+  /** Returns a grant that may not be used; waits a little if it is paused. */
+  private async returnUnusable(placement: Grant): Promise<boolean> {
     const {upstream} = placement;
-    if (upstreams.isLeaving(upstream)) {
-      this.returnGrant(placement, RUN_END.LEAVING);
-      return true;
-    }
-    if (upstreams.isReplaced(upstream)) {
-      this.returnGrant(placement, RUN_END.REPLACED);
-      return true;
+    const unusable = checkGrant(upstream, this.gateway);
+    if (!unusable) return false;
+    const {end, pauseLeftMs} = unusable;
+    this.returnGrant(placement, end);
+    if (pauseLeftMs > 0) {
+      this.tried.exclude(upstream.instanceId);
+      const delayMs = PAUSED_GRANT_DELAY_MS * 2 ** this.pausedGrants++;
+      const {signal} = this.request.timer;
+      await sleep(Math.min(delayMs, pauseLeftMs), signal);
     }
-    return false;
+    return true;
   }
 
   /**
    * Returns a grant unused: its upstream is leaving, which the dispatcher did not
    * know yet, or the request may not be sent any more.
    */
-  private returnGrant({upstream}: Placement, end: RunEnd): void {
-    const {requestId} = this.request.head;
-    const {instanceId} = upstream;
-    this.gateway.log.info('grant_handed_back', {
-      id: requestId,
-      upstream: instanceId,
-    });
-    this.reportUnused(end);
+  private returnGrant(grant: Grant, end: RunEnd): void {
+    returnGrant(this.gateway, this.request.head.requestId, grant, end);
   }
 
   /** Returns the grant of a send whose end was not reported. */
   private returnHeldGrant(): void {
-    const {requestId} = this.request.head;
-    const grantedBy = this.gateway.dispatchClient.granterOf(requestId);
+    const {grant} = this;
+    if (!grant) return;
+    const {requestId: id} = this.request.head;
+    const grantedBy = this.gateway.dispatchClient.granterOf(grant.grantId);
     if (grantedBy === undefined) return;
-    this.gateway.log.error('grant_left_over', {id: requestId, grantedBy});
-    this.reportUnused(RUN_END.CANCELLED);
-  }
-
-  private reportUnused(end: RunEnd): void {
-    this.gateway.dispatchClient.reportEnd({
-      requestId: this.request.head.requestId,
-      end,
-      runMs: 0,
-      eventGapMs: null,
-      load: null,
-    });
+    this.gateway.log.error('grant_left_over', {id, grantedBy});
+    this.returnGrant(grant, RUN_END.CANCELLED);
   }
 
   private createGrantRequest(): GrantRequest {
-    const {admission, timer, head} = this.request;
-    const {route} = admission;
-    const {localMember} = this.gateway.members;
-    // Once a stream has begun, the objective is the time to its next event.
-    const {hasSentHead} = this.progress;
-    const objectiveLeftMs = hasSentHead
-      ? (route.maxEventGapMs ?? 0)
-      : route.objectiveMs - timer.elapsedMs;
-    const patienceLeftMs = hasSentHead
-      ? timer.remainingMs
-      : Math.min(callerPatienceMs(route) - timer.elapsedMs, timer.remainingMs);
-    return {
-      requestId: head.requestId,
-      entryId: localMember.id,
-      zone: localMember.zone,
-      tier: tierOf(admission),
-      fingerprint: this.request.fingerprint,
-      promptTokens: head.tokens?.prompt ?? 0,
-      objectiveLeftMs: Math.round(objectiveLeftMs),
-      patienceLeftMs: Math.round(patienceLeftMs),
-      isRepeatable: isRepeatable(route),
+    return createGrantRequest(this.gateway, this.request, this.progress, {
       isRetry: this.possibleArrivals > 0,
-      excluded: this.excluded,
-      avoidedZones: this.avoidedZones,
-      requiredVersion: this.progress.softwareVersion,
-    };
+      excluded: this.tried.excluded,
+      avoidedZones: this.tried.avoidedZones,
+    });
   }
 
   /**
@@ -385,16 +389,3 @@
     );
   }
 }
-
-function toGatewayRefusal(reason: string): GatewayRefusal {
-  switch (reason) {
-    case QUEUE_REFUSAL.EXPIRED:
-      return GATEWAY_REFUSAL.EXPIRED;
-    case QUEUE_REFUSAL.NO_UPSTREAM:
-      return GATEWAY_REFUSAL.NO_UPSTREAM;
-    case QUEUE_REFUSAL.BUDGET_SPENT:
-      return GATEWAY_REFUSAL.BUDGET_SPENT;
-    default:
-      return GATEWAY_REFUSAL.OVERLOADED;
-  }
-}
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -1,8 +1,5 @@
-import {
-  GATEWAY_REFUSAL,
-  NOT_READY_RETRY_AFTER_MS,
-  VERSION_CONFIRMATION_TIMEOUT_MS,
-} from './constants.js';
+import {GATEWAY_REFUSAL, NOT_READY_RETRY_AFTER_MS} from './constants.js';
+import {VERSION_CONFIRMATION_TIMEOUT_MS} from './stream_constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {OpenRequest} from './open_request.js';
--- a/packages/gateway/src/stream_archive.ts
+++ b/packages/gateway/src/stream_archive.ts
@@ -9,7 +9,7 @@
   SNAPSHOT_REFRESH_MS,
   SNAPSHOT_RETRY_MS,
   STREAM_ORIGIN_TTL_MS,
-} from './constants.js';
+} from './stream_constants.js';
 import type {StreamOrigin} from './stream_origin.js';
 import {latestOrigin} from './stream_origin.js';
 import {decodeSnapshot, encodeSnapshot} from './stream_snapshot.js';
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -1,4 +1,4 @@
-import {STREAM_ORIGIN_TTL_MS} from './constants.js';
+import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
 
 /** Where a stream began. Only upstreams of that software version can go on. */
 export interface StreamOrigin {
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -22,8 +22,6 @@
   /** Software versions of the services. */
   readonly versions = new VersionHistory();
   private registeredAddresses: ReadonlySet<string> = new Set();
-  /** Addresses at which only leaving upstreams are registered. */
-  private leavingAddresses: ReadonlySet<string> = new Set();
   /** The registered upstreams as their entries list them. */
   private listed: UpstreamsByService = new Map();
   /** The same, where those that said they leave are marked. */
@@ -104,9 +102,9 @@
     return this.leavingTold.has(upstreamLifeKey(life));
   }
 
-  /** Whether all upstreams registered at an address are leaving. */
-  isLeavingAt(address: string): boolean {
-    return this.leavingAddresses.has(address);
+  /** The upstreams registered at an address. */
+  registeredAt(address: string): UpstreamSpec[] {
+    return [...this.byId.values()].filter(spec => spec.address === address);
   }
 
   /** Service of a registered upstream; undefined for others. */
@@ -114,6 +112,24 @@
     return this.serviceById.get(instanceId);
   }
 
+  /**
+   * Whether a service has an upstream that stays and is not one of those given,
+   * with a software version unless that is null.
+   */
+  hasOther(
+    service: string,
+    softwareVersion: string | null,
+    instanceIds: readonly string[],
+  ): boolean {
+    return [...this.byId.values()].some(
+      spec =>
+        this.serviceById.get(spec.instanceId) === service &&
+        !spec.isLeaving &&
+        !instanceIds.includes(spec.instanceId) &&
+        (softwareVersion === null || spec.softwareVersion === softwareVersion),
+    );
+  }
+
   /** Records a complete response, at a monotonic time in milliseconds. */
   recordResponse(instanceId: string, atMs: number): void {
     if (this.byId.has(instanceId)) this.lastResponseMs.set(instanceId, atMs);
@@ -190,11 +206,5 @@
     this.unlistedLeaving = unlisted;
     const all = [...this.byId.values()];
     this.registeredAddresses = new Set(all.map(({address}) => address));
-    const leaving = all.filter(({isLeaving}) => isLeaving);
-    const leavingAddresses = new Set(leaving.map(({address}) => address));
-    for (const {address, isLeaving} of all) {
-      if (!isLeaving) leavingAddresses.delete(address);
-    }
-    this.leavingAddresses = leavingAddresses;
   }
 }
