Refuse upstream URLs that paths can not be appended to

The daemon's configuration refused ports above 65535 and 999.1.1.1, but accepted port 0, a host of dots, a query, a fragment and credentials: requests to these went to `/` or to nobody, and the upstream counted as there. Cause: the schema checked that the URL is one, not that it is the base of others.

--- a/packages/state/src/config_schema.ts
+++ b/packages/state/src/config_schema.ts
@@ -47,7 +47,9 @@
   zone: NAME,
   /** Identifier of the VM in the platform's VM list. */
   vm: NAME,
-  url: z.url({protocol: /^https?$/}),
+  url: z
+    .url({protocol: /^https?$/, abort: true})
+    .refine(isBaseUrl, 'must be a base URL'),
   /** Maximum number of concurrent requests. */
   slots: z.number().int().min(1).max(4_096),
   /** Capacity of the prefix cache in tokens; 0 if there is no cache. */
@@ -91,6 +93,13 @@
 /** Configuration of a client account. */
 export type ClientAccountConfig = z.infer<typeof CLIENT_ACCOUNT>;
 
+/** Whether paths can be appended to a URL to send requests there. */
+function isBaseUrl(text: string): boolean {
+  if (/[\s?#]/.test(text)) return false;
+  const {port, hostname, username} = new URL(text);
+  return port !== '0' && username === '' && !/^\.+$/.test(hostname);
+}
+
 function checkAccounts(cfg: ClusterConfig, tiers: Set<string>): Finding[] {
   const findings: Finding[] = [];
   const owners = new Map<string, string>();
