Refuse request ids that no other gateway takes

Gateways take ids of up to 256 characters from one another, but took any from callers. An entry that asked the queue's owner for a request with a longer id got an error, took it for a failed member (peer_lost) and asked the next: one caller could make each entry doubt every owner, so that queues moved and split.

Ids of more than 200 characters are refused with 400 (bad_request) at once; the rest is room for what a search for another upstream adds.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -7,6 +7,7 @@
   CONFIG_AGE_MARGIN_MS,
   GATEWAY_REFUSAL,
   MAX_OPEN_REQUESTS,
+  MAX_REQUEST_ID_LENGTH,
   NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
 import {GatewayRefusalError} from './errors.js';
@@ -63,7 +64,8 @@
     let refusal: GatewayRefusalError | null = null;
     try {
       head = this.gateway.wireFormat.parseRequest(req);
-      if (!head || !SENDABLE_PATH.test(req.url ?? '')) {
+      const isTooLong = (head?.requestId.length ?? 0) > MAX_REQUEST_ID_LENGTH;
+      if (!head || isTooLong || !SENDABLE_PATH.test(req.url ?? '')) {
         throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
       }
       if (this.isClosing) {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -61,6 +61,12 @@
   upstream_timeout: 504,
 } as const;
 
+/**
+ * Longest request id in characters that is accepted. Gateways take 256 from one
+ * another, and a search for another upstream adds to the id.
+ */
+export const MAX_REQUEST_ID_LENGTH = 200;
+
 /** JSON-RPC methods between gateways. */
 export const GATEWAY_METHOD = {
   PING: 'gateway.ping',
