--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -1,6 +1,7 @@
 import {BodyTooLargeError, readBody} from '@fescuespool/transport';
 import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {admit, fingerprintOf} from './admission.js';
 import type {Admission} from './admission.js';
 import {
@@ -26,6 +27,8 @@
 export class CallerServer {
   private openCount = 0;
   private readonly idleListeners: Array<() => void> = [];
+  /** Response to the latest request of each connection. */
+  private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
   /** Whether responses close their connection, so that callers reconnect. */
   isDraining = false;
   /** Whether new requests are refused and connections are being closed. */
@@ -53,10 +56,7 @@
   async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res);
     this.openCount++;
-    if (this.isDraining) res.shouldKeepAlive = false;
-    res.once('finish', () => {
-      if (this.isClosing) req.socket.destroySoon();
-    });
+    this.closeAfterLastResponse(req, res);
     let head: RequestHead | null = null;
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
@@ -105,6 +105,23 @@
     }
   }
 
+  /** Closes the connection after its last response while the gateway stops. */
+  private closeAfterLastResponse(
+    // A request whose body is not read to its end loses its socket.
+    {socket}: IncomingMessage,
+    res: ServerResponse,
+  ): void {
+    const previous = this.lastResponses.get(socket);
+    // A caller may send its next request before it has this response.
+    if (previous && !previous.headersSent) previous.shouldKeepAlive = true;
+    this.lastResponses.set(socket, res);
+    if (this.isDraining) res.shouldKeepAlive = false;
+    res.once('finish', () => {
+      const isLast = this.lastResponses.get(socket) === res;
+      if (this.isClosing && isLast) socket.destroySoon();
+    });
+  }
+
   private async readBody(req: IncomingMessage): Promise<Buffer> {
     const limit = this.gateway.configState.current?.limits.maxBodyBytes;
     try {
