--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -121,7 +121,7 @@
       {kind: 'refused', reason, retryAfterMs: 250},
     ]),
     [
-      'report of an upstream that leaves',
+      'report of what upstreams said',
       REPORT_SCHEMA,
       {
         service: 'app',
@@ -129,6 +129,7 @@
         runs: [],
         limits: [],
         leaving: [{instanceId: 'i-10', startedAtUnixMs: null}],
+        pauses: [{instanceId: 'i-10', startedAtUnixMs: null, leftMs: 900}],
       },
     ],
     [
