Keep kept connections with an idle limit of 0 while a request is open

Callers saw: with `idle_timeout_ms` 0, the second request of a kept connection was closed without an answer a second after the first response, whenever its engine took longer than that.

Cause: IdleConnections sets the socket's timer itself. Node.js resets it at the next request only if it had set one of its own, which it does not with a keepAliveTimeout of 0. A limit raised from 0 under an idle connection does the same.

Evidence before: idle_limits.test.ts, "answers a slow request on a kept connection that need not be kept": expected 1 to be 2 answers.

Change: the timer is cleared when a request begins. All 8 tests of the file pass.

--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -35,6 +35,8 @@
   handleRequest({socket}: IncomingMessage, res: ServerResponse): void {
     const announcedMs = this.server.keepAliveTimeout;
     this.idle.delete(socket);
+    // Node.js resets only timers that it set, which it does not for a limit of 0.
+    socket.setTimeout(0);
     const count = this.openRequests.get(socket) ?? 0;
     this.openRequests.set(socket, count + 1);
     res.once('finish', () => this.handleResponse(socket, announcedMs));
