Share where a stream began once its first event has come

Callers saw: a stream joined from two versions. Its first send had a response head from v1 but no event, and broke; the next one, at v2, brought the events. Then all gateways ended; the stream was taken up at v1.

Cause: the origin was shared and archived with the response head. That the higher send counts helps only if somebody has both.

Evidence before: superseded_stream_origin.test.ts: expected [ 'v1', 'v1' ] to not include 'v1'.

Change: the origin is shared when the first event with content has arrived and has bound the request to the version, before that event is forwarded. A send without an event leaves nothing behind, so that a request has one origin only.

--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -38,7 +38,10 @@
   readonly res: ServerResponse;
   readonly progress: StreamProgress;
   readonly nowMs: () => number;
-  /** Called before the first event is sent on; delays it until it resolves. */
+  /**
+   * Called after `onFirstEvent`, before that event is sent on; delays it until it
+   * resolves.
+   */
   readonly beforeFirstEvent: () => Promise<void>;
   /** Sends the response head, before the first event or an empty end. */
   readonly writeHead: () => void;
@@ -89,9 +92,10 @@
         .filter(event => isAfter(event, progress.lastEventId));
       if (newEvents.length === 0) continue;
       const contentCount = newEvents.filter(event => event.hasContent).length;
+      const isFirst = eventCount === 0 && contentCount > 0;
       recordEvents(contentCount);
+      if (isFirst) await options.beforeFirstEvent();
       if (!progress.hasSentHead) {
-        await options.beforeFirstEvent();
         options.writeHead();
         progress.hasSentHead = true;
       }
--- a/packages/gateway/src/stream_version_tracker.ts
+++ b/packages/gateway/src/stream_version_tracker.ts
@@ -14,23 +14,29 @@
 
 /** Keeps and shares the software version that a stream is bound to. */
 export class StreamVersionTracker {
+  /** Whether the send begins the stream. */
+  private readonly isNew: boolean;
+
   constructor(
     private readonly gateway: GatewayContext,
     private readonly request: OpenRequest,
     private readonly progress: StreamProgress,
     private readonly streamSend: StreamSend,
-  ) {}
+  ) {
+    this.isNew = progress.lastEventId === null;
+  }
 
   /**
-   * Shares where a new stream begins, so that its caller can resume it through
-   * other gateways.
+   * Shares where a new stream has begun, so that its caller can resume it through
+   * other gateways. Not before its first event: a send without one may be followed
+   * by another at another version, of which some of those that were told of the
+   * first might not hear.
    */
   async shareOrigin(): Promise<void> {
     const {upstream, service, send} = this.streamSend;
     const {softwareVersion} = upstream;
-    const isNew = this.progress.lastEventId === null;
     const {isResumable} = this.request.admission.route;
-    if (!isNew || !isResumable || softwareVersion === null) return;
+    if (!this.isNew || !isResumable || softwareVersion === null) return;
     const {requestId} = this.request.head;
     const origin = {service, softwareVersion, send};
     await this.gateway.streamOrigins.share(requestId, origin);
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -250,7 +250,6 @@
       this.progress,
       {upstream: this.placement.upstream, ...this.options},
     );
-    const originShared = versionTracker.shareOrigin();
     const expectEvent = (): void =>
       this.silenceWatch?.expectWithin(eventTimeoutMs(admission.route));
     expectEvent();
@@ -258,7 +257,7 @@
       res,
       progress: this.progress,
       nowMs: clock.monotonicMs,
-      beforeFirstEvent: () => originShared,
+      beforeFirstEvent: () => versionTracker.shareOrigin(),
       writeHead: () => {
         const headers = wireFormat.callerResponseHeaders(
           exchange.res.rawHeaders,
