Estimate waits apart only for gateways that are paused themselves

While any pause was in force, the queue estimated waits for each gateway apart. Gateways without a pause now share one estimate again.

--- a/packages/scheduling/src/placement_rate.ts
+++ b/packages/scheduling/src/placement_rate.ts
@@ -67,7 +67,7 @@
   const differsByGateway = rateLimiter.hasPauses(nowMs);
   const estimate = (request: GrantRequest): PlacementRate => {
     const isOpen = ({spec}: UpstreamState): boolean =>
-      !differsByGateway || !rateLimiter.isPausedFor(request, spec, nowMs);
+      !rateLimiter.isPausedFor(request, spec, nowMs);
     const isUnbound = request.requiredVersion === null;
     const open = isUnbound ? unbound.filter(isOpen) : [];
     if (open.length > 0) return rateOf(request, open, false, null);
@@ -80,7 +80,8 @@
   };
   const byGateway = new Map<string, Map<string | null, PlacementRate>>();
   const rateFor = (request: GrantRequest): PlacementRate => {
-    const gatewayKey = differsByGateway ? request.entryId : '';
+    const isOwn = rateLimiter.hasPausesFor(request, nowMs);
+    const gatewayKey = isOwn ? request.entryId : '';
     const rates = byGateway.get(gatewayKey) ?? new Map();
     byGateway.set(gatewayKey, rates);
     const rate = rates.get(request.requiredVersion) ?? estimate(request);
--- a/packages/scheduling/src/upstream_pauses.ts
+++ b/packages/scheduling/src/upstream_pauses.ts
@@ -9,14 +9,19 @@
   readonly untilMs: number;
 }
 
-type Pauses = LRUCache<string, UpstreamPause>;
+/** What upstreams asked of one gateway. */
+interface GatewayPauses {
+  readonly byUpstream: LRUCache<string, UpstreamPause>;
+  /** End of its last pause. */
+  lastEndMs: number;
+}
 
 /** For how long upstreams want no requests from which gateways. */
 export class UpstreamPauses {
-  private readonly byGateway = new LRUCache<string, Pauses>({
+  private readonly byGateway = new LRUCache<string, GatewayPauses>({
     max: MAX_PAUSED_GATEWAYS,
   });
-  /** End of the last pause that is known. */
+  /** End of the last pause of any gateway. */
   private lastEndMs = -Infinity;
 
   /**
@@ -28,15 +33,18 @@
     {instanceId, startedAtUnixMs, untilMs}: UpstreamPause,
     nowMs: number,
   ): number {
-    const pauses: Pauses =
-      this.byGateway.get(gatewayId) ??
-      new LRUCache({max: MAX_PAUSED_UPSTREAMS});
+    const pauses: GatewayPauses = this.byGateway.get(gatewayId) ?? {
+      byUpstream: new LRUCache({max: MAX_PAUSED_UPSTREAMS}),
+      lastEndMs: -Infinity,
+    };
+    const {byUpstream} = pauses;
     const key = upstreamLifeKey({instanceId, startedAtUnixMs});
-    const knownUntilMs = Math.max(nowMs, pauses.get(key)?.untilMs ?? nowMs);
+    const knownUntilMs = Math.max(nowMs, byUpstream.get(key)?.untilMs ?? nowMs);
     if (untilMs <= knownUntilMs) return 0;
-    pauses.set(key, {instanceId, startedAtUnixMs, untilMs});
-    this.byGateway.set(gatewayId, pauses);
+    byUpstream.set(key, {instanceId, startedAtUnixMs, untilMs});
+    pauses.lastEndMs = Math.max(pauses.lastEndMs, untilMs);
     this.lastEndMs = Math.max(this.lastEndMs, untilMs);
+    this.byGateway.set(gatewayId, pauses);
     return untilMs - knownUntilMs;
   }
 
@@ -45,19 +53,32 @@
     return nowMs < this.lastEndMs;
   }
 
+  /** Whether any upstream wants no requests from a gateway. */
+  hasPauses(gatewayId: string, nowMs: number): boolean {
+    return this.inForceFor(gatewayId, nowMs) !== null;
+  }
+
   /** Milliseconds until an upstream wants requests from a gateway again, or 0. */
   waitMs(gatewayId: string, upstream: UpstreamLife, nowMs: number): number {
-    // Asked for each upstream at each placement; mostly there are none.
-    if (!this.isInForce(nowMs)) return 0;
-    const pause = this.byGateway.get(gatewayId)?.get(upstreamLifeKey(upstream));
+    const pause = this.inForceFor(gatewayId, nowMs)?.byUpstream.get(
+      upstreamLifeKey(upstream),
+    );
     return pause ? Math.max(0, pause.untilMs - nowMs) : 0;
   }
 
   /** The pauses of a gateway that have not ended. */
   pausesOf(gatewayId: string, nowMs: number): UpstreamPause[] {
-    if (!this.isInForce(nowMs)) return [];
-    const pauses = this.byGateway.get(gatewayId);
+    const pauses = this.inForceFor(gatewayId, nowMs);
     if (!pauses) return [];
-    return [...pauses.values()].filter(({untilMs}) => nowMs < untilMs);
+    return [...pauses.byUpstream.values()].filter(
+      ({untilMs}) => nowMs < untilMs,
+    );
+  }
+
+  private inForceFor(gatewayId: string, nowMs: number): GatewayPauses | null {
+    // Asked for each upstream at each placement; mostly there are none.
+    if (!this.isInForce(nowMs)) return null;
+    const pauses = this.byGateway.get(gatewayId);
+    return pauses && nowMs < pauses.lastEndMs ? pauses : null;
   }
 }
--- a/packages/scheduling/src/upstream_rate_limiter.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.ts
@@ -27,6 +27,11 @@
     return this.pauses.isInForce(nowMs);
   }
 
+  /** Whether any upstream wants no requests from the request's gateway. */
+  hasPausesFor({entryId}: GrantRequest, nowMs: number): boolean {
+    return this.pauses.hasPauses(entryId, nowMs);
+  }
+
   /** Whether an upstream wants no requests from the request's gateway. */
   isPausedFor(
     {entryId}: GrantRequest,
