--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from './findings.js';
 export * from './ids.js';
 export * from './line_stream.js';
+export * from './list_schema.js';
 export * from './logger.js';
 export * from './metrics.js';
 export * from './types.js';
--- a/packages/gateway/src/stream_snapshot.ts
+++ b/packages/gateway/src/stream_snapshot.ts
@@ -1,5 +1,5 @@
 import type {FindingsError} from '@fescuespool/common';
-import {checkAgainstSchema, parseJson} from '@fescuespool/common';
+import {checkAgainstSchema, listOf, parseJson} from '@fescuespool/common';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {MAX_STREAM_ID_LENGTH} from './stream_constants.js';
@@ -8,12 +8,12 @@
 const ID = z.string().max(MAX_STREAM_ID_LENGTH);
 
 const SNAPSHOT = z.object({
-  streams: z.array(
+  streams: listOf(
     z.object({
       service: z.string(),
       softwareVersion: z.string(),
       /** Request ids, each with the number of the send that began the stream. */
-      begunBy: z.array(z.tuple([ID, z.number().int().min(0)])),
+      begunBy: listOf(z.tuple([ID, z.number().int().min(0)])),
     }),
   ),
 });
