--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -104,8 +104,8 @@
   ageMs: MILLISECONDS,
 });
 
-/** A life of an upstream that says it leaves. */
-const LEAVING = z.object({
+/** A life of an upstream. */
+const LIFE = z.object({
   instanceId: ID,
   startedAtUnixMs: z.number().nullable(),
 });
@@ -114,20 +114,14 @@
 const PAUSE_LEFT = MILLISECONDS.min(0).max(MAX_PAUSE_MS);
 
 /** An upstream that wants no requests from an entry for a while. */
-const PAUSE = z.object({
-  instanceId: ID,
-  startedAtUnixMs: z.number().nullable(),
-  leftMs: PAUSE_LEFT,
-});
+const PAUSE = LIFE.extend({leftMs: PAUSE_LEFT});
 
 /**
  * Params of the notice to a neighbour of what an upstream said at the end of its
  * tunnel.
  */
-export const UPSTREAM_NOTICE_SCHEMA = z.object({
+export const UPSTREAM_NOTICE_SCHEMA = LIFE.extend({
   senderId: ID,
-  instanceId: ID,
-  startedAtUnixMs: z.number().nullable(),
   isLeaving: z.boolean().default(false),
   pauseMs: PAUSE_LEFT.nullable().default(null),
 });
@@ -147,7 +141,7 @@
   entryId: ID,
   runs: z.array(z.object({requestId: ID, instanceId: ID})).max(MAX_RUNS),
   limits: z.array(LIMIT_STATEMENT).max(MAX_LIMITED_UPSTREAMS).default([]),
-  leaving: z.array(LEAVING).max(MAX_LEAVING_REPORTED).default([]),
+  leaving: z.array(LIFE).max(MAX_LEAVING_REPORTED).default([]),
   pauses: z.array(PAUSE).max(MAX_PAUSED_UPSTREAMS).default([]),
 });
 
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -1,8 +1,8 @@
 import {GATEWAY_REFUSAL, NOT_READY_RETRY_AFTER_MS} from './constants.js';
-import {VERSION_CONFIRMATION_TIMEOUT_MS} from './stream_constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {OpenRequest} from './open_request.js';
+import {VERSION_CONFIRMATION_TIMEOUT_MS} from './stream_constants.js';
 import type {OriginLookup} from './stream_origin.js';
 import type {ResumePlace} from './stream_resumption.js';
 import {placeToResume} from './stream_resumption.js';
--- a/packages/gateway/src/stream_snapshot.ts
+++ b/packages/gateway/src/stream_snapshot.ts
@@ -32,7 +32,7 @@
   return Buffer.from(JSON.stringify({streams: [...groups.values()]}));
 }
 
-/** Decodes the origins of streams; the error lists all findings. */
+/** Decodes the origins of streams; the error names the first finding of a list. */
 export function decodeSnapshot(
   name: string,
   value: Buffer,
