Record the versions of services, and confirm where new streams begin

The relay keeps the versions at which streams may have begun in the store (fescuespool/versions), written when they change. A gateway that starts reads it; a stream that nobody knows goes on at the only recorded version, or not at all, named or not. No stream begins at a version that is not recorded while one that is has upstreams, so that the record tells streams from before a release from those of it.

A new stream at a connection that was not confirmed yet has its upstream asked when it started; if that is not confirmed within 60 ms, it goes on nowhere else until it is.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   MAX_HEADER_BYTES,
   STOP_MARGIN_MS,
 } from './constants.js';
+import {ConfirmedConnections} from './confirmed_connections.js';
 import {CrashGuard} from './crash_guard.js';
 import {DispatchClient} from './dispatch_client.js';
 import type {UpstreamsByService} from './dispatcher.js';
@@ -34,6 +35,11 @@
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StreamArchive} from './stream_archive.js';
+import type {
+  VersionHistory,
+  VersionRecord,
+  VersionsByService,
+} from './stream_origin.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {
   GatewayConfig,
@@ -153,6 +159,12 @@
       log,
       options.streamStore,
       () => members.allMembers.length,
+      ({service, softwareVersion}) =>
+        this.upstreams.versions.implies(
+          service,
+          softwareVersion,
+          clock.monotonicMs(),
+        ),
     );
     const upstreamPaths = new UpstreamPaths({
       clock,
@@ -189,6 +201,7 @@
         instanceId => dispatchClient.reportNow(instanceId),
       ),
       upstreamPaths,
+      confirmedConnections: new ConfirmedConnections(),
       upstreams: this.upstreams,
       upstreamStatements: new UpstreamStatements({
         clock,
@@ -281,15 +294,35 @@
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(this.upstreams.byService);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
+    this.context.streamArchive.handleVersionsChanged();
     this.startupGate.check();
   }
 
+  /** Software versions of the services, as far as this gateway knows. */
+  get versions(): VersionHistory {
+    return this.upstreams.versions;
+  }
+
+  /** Applies what the gateways recorded of the upstreams' versions. */
+  setVersionRecord(record: VersionRecord): void {
+    this.versions.recall(record, this.options.clock.monotonicMs());
+    this.context.streamArchive.handleVersionsChanged();
+  }
+
+  /**
+   * The versions at which streams began that gateways have stored; null if that
+   * can't be read.
+   */
+  storedStreamVersions(): Promise<VersionsByService | null> {
+    return this.context.streamArchive.versionsInUse();
+  }
+
   /**
    * Begins the history of upstreams' versions anew: the list of upstreams is
    * loaded again, and some may have come and gone unseen.
    */
   restartVersionHistory(): void {
-    this.upstreams.versions.restart();
+    this.versions.restart();
   }
 
   /** Stores again what the platform's store may have lost of this gateway. */
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -1,6 +1,7 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {QuotaLedger} from '@fescuespool/scheduling';
 import type {ConfigState} from './config_state.js';
+import type {ConfirmedConnections} from './confirmed_connections.js';
 import type {CrashGuard} from './crash_guard.js';
 import type {DispatchClient} from './dispatch_client.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
@@ -30,6 +31,7 @@
   readonly streamArchive: StreamArchive;
   readonly streamOrigins: StreamOriginDirectory;
   readonly upstreamPaths: UpstreamPaths;
+  readonly confirmedConnections: ConfirmedConnections;
   readonly upstreams: UpstreamRegistry;
   readonly upstreamStatements: UpstreamStatements;
   readonly random: () => number;
--- a/packages/gateway/src/grant_check.ts
+++ b/packages/gateway/src/grant_check.ts
@@ -45,15 +45,18 @@
   upstream: UpstreamSpec,
   requestId: string,
   signal: AbortSignal,
-  {wireFormat, upstreamPaths, upstreamStatements, log}: GatewayContext,
+  gateway: GatewayContext,
 ): Promise<RunEnd | null> {
+  const {wireFormat, upstreamPaths, upstreamStatements, log} = gateway;
   const life = await checkLife(
     upstream,
     wireFormat,
     upstreamPaths,
     signal,
-    (head, socket) =>
-      upstreamStatements.recordResponse({upstream, head, socket, requestId}),
+    (head, socket) => {
+      gateway.confirmedConnections.add(socket, upstream);
+      upstreamStatements.recordResponse({upstream, head, socket, requestId});
+    },
   );
   if (life === 'same') return null;
   log.warn('upstream_life_unconfirmed', {
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -6,13 +6,16 @@
 import type {StreamProgress} from './stream_relay.js';
 
 /** What earlier sends of a request leave to its next one. */
-type SendHistory = Pick<GrantRequest, 'isRetry' | 'excluded' | 'avoidedZones'>;
+type SendHistory = Pick<
+  GrantRequest,
+  'isRetry' | 'excluded' | 'avoidedZones' | 'requiredVersion'
+>;
 
 /** Creates what is sent to the owner of a queue for an upstream. */
 export function createGrantRequest(
   gateway: GatewayContext,
   {admission, timer, head, fingerprint}: OpenRequest,
-  {hasSentHead, softwareVersion}: StreamProgress,
+  {hasSentHead}: StreamProgress,
   history: SendHistory,
 ): GrantRequest {
   const {route} = admission;
@@ -34,7 +37,6 @@
     objectiveLeftMs: Math.round(objectiveLeftMs),
     patienceLeftMs: Math.round(patienceLeftMs),
     isRepeatable: isRepeatable(route),
-    requiredVersion: softwareVersion,
     ...history,
   };
 }
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -49,6 +49,8 @@
   private searches = 0;
   /** Grant of the last send. */
   private grant: Grant | null = null;
+  /** Whether a new stream may begin at any version. */
+  private mayBeginAnywhere = false;
   /** Grant of an upstream that takes over from a silent one. */
   private nextGrant: Grant | null = null;
 
@@ -282,7 +284,11 @@
         runs: this.possibleRuns,
       });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
-        return this.createNotResumableRefusal();
+        if (this.versionToBegin === null) {
+          return this.createNotResumableRefusal();
+        }
+        this.mayBeginAnywhere = true;
+        return this.place();
       }
       if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
       const leftMs = Math.ceil(timer.remainingMs);
@@ -344,9 +350,19 @@
       isRetry: this.possibleArrivals > 0,
       excluded: this.tried.excluded,
       avoidedZones: this.tried.avoidedZones,
+      requiredVersion: this.progress.softwareVersion ?? this.versionToBegin,
     });
   }
 
+  /** The version at which the stream has to begin; null if any will do. */
+  private get versionToBegin(): string | null {
+    const {route} = this.request.admission;
+    const {softwareVersion, lastEventId} = this.progress;
+    const begins = softwareVersion === null && lastEventId === null;
+    if (this.mayBeginAnywhere || !begins || !route.isResumable) return null;
+    return this.gateway.upstreams.versionToBegin(this.service);
+  }
+
   /**
    * Sends the buffered error response of an upstream to the caller; returns
    * false if there is none or the stream has already begun.
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -19,6 +19,9 @@
   const {upstreams, clock, configState, streamOrigins, log} = gateway;
   const {resumedRequestId, requestId} = head;
   const lookup = await findOrigin(gateway, resumedRequestId);
+  const isRecordRead =
+    lookup.origin !== null ||
+    (await upstreams.versions.whenRecalled(VERSION_CONFIRMATION_TIMEOUT_MS));
   const place = placeToResume(
     admission.route,
     resumedRequestId,
@@ -35,9 +38,10 @@
     viewAgeMs: Math.round(configState.ageMs),
   });
   if (!place) {
+    const mayKnowSoon = !lookup.isCertain || !isRecordRead;
     throw new GatewayRefusalError(
       GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE,
-      lookup.isCertain ? undefined : NOT_READY_RETRY_AFTER_MS,
+      mayKnowSoon ? NOT_READY_RETRY_AFTER_MS : undefined,
     );
   }
   if (resumedRequestId !== null) {
--- a/packages/gateway/src/stream_archive.ts
+++ b/packages/gateway/src/stream_archive.ts
@@ -10,7 +10,7 @@
   SNAPSHOT_RETRY_MS,
   STREAM_ORIGIN_TTL_MS,
 } from './stream_constants.js';
-import type {StreamOrigin} from './stream_origin.js';
+import type {StreamOrigin, VersionsByService} from './stream_origin.js';
 import {latestOrigin} from './stream_origin.js';
 import {decodeSnapshot, encodeSnapshot} from './stream_snapshot.js';
 import type {StreamStore} from './types.js';
@@ -25,10 +25,14 @@
 /** Where the archived streams began, by request id. */
 type Origins = ReadonlyMap<string, StreamOrigin>;
 
+/** Whether members know where a stream began even if all of them have ended. */
+export type IsImplied = (origin: StreamOrigin) => boolean;
+
 /**
  * Keeps where the streams of this member began outside of all members, so that
  * they can be resumed after all members have ended. Each member stores one
- * snapshot of those that are open or broke off recently. Snapshots are written
+ * snapshot of those that are open or broke off recently, but for those whose
+ * version follows from the versions that are recorded. Snapshots are written
  * behind: a stream is not delayed, and one of the last moments may be missing.
  */
 export class StreamArchive {
@@ -44,6 +48,8 @@
   private lastWriteMs = -Infinity;
   private lastRead: Promise<unknown> = Promise.resolve();
   private nextRead: Promise<Origins | null> | null = null;
+  /** Services whose streams are stored. */
+  private storedServices = new Set<string>();
   private readonly refreshTimer: NodeJS.Timeout;
 
   constructor(
@@ -51,6 +57,7 @@
     private readonly log: Logger,
     private readonly store: StreamStore,
     private readonly memberCount: () => number,
+    private readonly isImplied: IsImplied,
   ) {
     this.refreshTimer = setInterval(() => this.rewrite(), SNAPSHOT_REFRESH_MS);
   }
@@ -59,10 +66,43 @@
   open(requestId: string, origin: StreamOrigin): void {
     if (requestId.length > MAX_STREAM_ID_LENGTH) return;
     this.origins.set(requestId, origin);
+    if (this.isImplied(origin)) return;
+    this.storedServices.add(origin.service);
+    this.isDirty = true;
+    this.scheduleWrite();
+  }
+
+  /**
+   * Stores the open streams of services of which the versions that were recorded
+   * no longer tell where streams began. Called when versions or their record
+   * have changed.
+   */
+  handleVersionsChanged(): void {
+    const stored = new Set<string>();
+    for (const origin of this.origins.values()) {
+      const {service} = origin;
+      if (!stored.has(service) && !this.isImplied(origin)) stored.add(service);
+    }
+    const isNew = [...stored].some(name => !this.storedServices.has(name));
+    this.storedServices = stored;
+    if (!isNew) return;
     this.isDirty = true;
     this.scheduleWrite();
   }
 
+  /** The versions at which archived streams began; null if it can't be read. */
+  async versionsInUse(): Promise<VersionsByService | null> {
+    const origins = await this.read();
+    if (!origins) return null;
+    const versions = new Map<string, string[]>();
+    for (const {service, softwareVersion} of origins.values()) {
+      const known = versions.get(service) ?? [];
+      if (!known.includes(softwareVersion)) known.push(softwareVersion);
+      versions.set(service, known);
+    }
+    return versions;
+  }
+
   /** Records the end of a stream; one that broke off may yet be resumed. */
   end(requestId: string, isComplete: boolean): void {
     const origin = this.origins.get(requestId);
@@ -74,7 +114,8 @@
   /** Stores the snapshot again, as the store may have lost it. */
   rewrite(): void {
     this.origins.purgeStale();
-    if (this.origins.size === 0) return;
+    const stored = [...this.origins.values()].some(o => !this.isImplied(o));
+    if (!stored) return;
     this.isDirty = true;
     this.scheduleWrite();
   }
@@ -111,9 +152,10 @@
     this.isWriting = true;
     this.isDirty = false;
     this.lastWriteMs = this.clock.monotonicMs();
-    const isStored = await this.store.write(
-      encodeSnapshot(this.origins.entries()),
+    const stored = [...this.origins.entries()].filter(
+      ([, origin]) => !this.isImplied(origin),
     );
+    const isStored = await this.store.write(encodeSnapshot(stored));
     this.isWriting = false;
     if (!isStored) this.isDirty = true;
     if (isStored === this.hasFailed) {
--- a/packages/gateway/src/stream_constants.ts
+++ b/packages/gateway/src/stream_constants.ts
@@ -43,6 +43,12 @@
  */
 export const VERSION_CONFIRMATION_TIMEOUT_MS = 700;
 
+/**
+ * Time in milliseconds that the first event of a new stream waits until it is known
+ * whether its upstream has started again.
+ */
+export const NEW_STREAM_CONFIRMATION_TIMEOUT_MS = 60;
+
 /** Number of other members that get a copy of a stream's origin. */
 export const ORIGIN_COPIES = 2;
 
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -1,5 +1,11 @@
 import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
 
+/**
+ * Software version of a stream that began at an upstream which may have started
+ * again unseen: it can't go on elsewhere.
+ */
+export const UNKNOWN_VERSION = '';
+
 /** Where a stream began. Only upstreams of that software version can go on. */
 export interface StreamOrigin {
   readonly service: string;
@@ -21,27 +27,49 @@
   readonly isCertain: boolean;
 }
 
-/** The origin that counts among those that several members know. */
+/**
+ * The origin that counts among those that several members know. The version of a
+ * send may become known after its first event.
+ */
 export function latestOrigin(
   origins: readonly (StreamOrigin | null)[],
 ): StreamOrigin | null {
   let latest: StreamOrigin | null = null;
   for (const origin of origins) {
-    if (origin && (!latest || origin.send > latest.send)) latest = origin;
+    if (!origin) continue;
+    const isKnownNow =
+      latest?.softwareVersion === UNKNOWN_VERSION &&
+      origin.send === latest.send;
+    if (!latest || origin.send > latest.send || isKnownNow) latest = origin;
   }
   return latest;
 }
 
-/** Software versions that a member has seen of each service, and when. */
+/** Software versions by service; null for one that is not known. */
+export type VersionsByService = ReadonlyMap<string, readonly (string | null)[]>;
+
+/** The versions at which streams may have begun, as the members recorded them. */
+export interface VersionRecord {
+  readonly versions: VersionsByService;
+  /** Whether it also tells of the time before this process started. */
+  readonly isComplete: boolean;
+}
+
+/**
+ * Software versions that a member has seen of each service, and when, with what
+ * the members recorded of them outside of all members.
+ */
 export class VersionHistory {
   private readonly lastSeenMs = new Map<string, Map<string | null, number>>();
   private sinceMs: number | null = null;
+  /** The record in force; null while it has to be read again. */
+  private current: VersionRecord | null = null;
+  private recalled: VersionRecord | null = null;
+  private wasEverComplete = false;
+  private readonly recallListeners = new Set<() => void>();
 
   /** Records the versions of the registered upstreams, by service. */
-  record(
-    versionsByService: ReadonlyMap<string, readonly (string | null)[]>,
-    nowMs: number,
-  ): void {
+  record(versionsByService: VersionsByService, nowMs: number): void {
     if (versionsByService.size > 0) this.sinceMs ??= nowMs;
     // Versions that are registered until now were last seen now.
     for (const seen of this.lastSeenMs.values()) {
@@ -51,13 +79,31 @@
       }
     }
     for (const [service, versions] of versionsByService) {
-      const seen = this.lastSeenMs.get(service) ?? new Map();
+      const seen = this.seenOf(service);
       for (const version of versions) seen.set(version, Infinity);
-      this.lastSeenMs.set(service, seen);
     }
     for (const [service, seen] of this.lastSeenMs) {
       if (seen.size === 0) this.lastSeenMs.delete(service);
     }
+    this.noteCompleteness(nowMs);
+  }
+
+  /**
+   * Applies the members' record. Versions that only it has count as seen when it
+   * was first read.
+   */
+  recall(record: VersionRecord, nowMs: number): void {
+    this.current = record;
+    this.noteCompleteness(nowMs);
+    for (const listener of [...this.recallListeners]) listener();
+    if (record === this.recalled) return;
+    this.recalled = record;
+    for (const [service, versions] of record.versions) {
+      const seen = this.seenOf(service);
+      for (const version of versions) {
+        if (!seen.has(version)) seen.set(version, nowMs);
+      }
+    }
   }
 
   /**
@@ -66,21 +112,99 @@
    */
   restart(): void {
     this.sinceMs = null;
+    this.current = null;
+  }
+
+  /** The versions that were seen within STREAM_ORIGIN_TTL_MS, by service. */
+  recentVersions(nowMs: number): VersionsByService {
+    const recent = new Map<string, readonly (string | null)[]>();
+    for (const service of this.lastSeenMs.keys()) {
+      const versions = this.recentOf(service, nowMs);
+      if (versions.length > 0) recent.set(service, versions);
+    }
+    return recent;
   }
 
   /**
-   * The only version of a service that was seen within STREAM_ORIGIN_TTL_MS; null
-   * if there were several or none, or one is not known.
+   * The only version at which streams of a service can have begun; null if there
+   * may be several. By the record, as no stream begins at a version that it lacks
+   * while there is one that it has; without it, by what was seen within
+   * STREAM_ORIGIN_TTL_MS.
    */
   soleVersionOf(service: string, nowMs: number): string | null {
-    const recent = [...(this.lastSeenMs.get(service) ?? [])].filter(
-      ([, lastMs]) => nowMs - lastMs <= STREAM_ORIGIN_TTL_MS,
+    const versions = this.current?.isComplete
+      ? (this.current.versions.get(service) ?? [])
+      : this.recentOf(service, nowMs);
+    return versions.length === 1 ? (versions[0] ?? null) : null;
+  }
+
+  /**
+   * The version at which a new stream has to begin, among those of the upstreams
+   * that stay; null if any will do. Versions that are not recorded yet wait, so
+   * that streams from before them can be told from theirs if all members end.
+   */
+  versionToBegin(
+    service: string,
+    staying: readonly (string | null)[],
+  ): string | null {
+    if (!this.current?.isComplete) return null;
+    const [sole = null, ...others] = this.current.versions.get(service) ?? [];
+    if (sole === null || others.length > 0) return null;
+    const isMixed = staying.some(version => version !== sole);
+    return isMixed && staying.includes(sole) ? sole : null;
+  }
+
+  /**
+   * Whether the record alone tells that a stream of a service began at a version,
+   * and nothing else has been seen that would have to be recorded.
+   */
+  implies(service: string, version: string, nowMs: number): boolean {
+    const recent = this.recentOf(service, nowMs);
+    return (
+      this.current?.isComplete === true &&
+      this.soleVersionOf(service, nowMs) === version &&
+      recent.every(seen => seen === version)
     );
-    return recent.length === 1 ? (recent[0]?.[0] ?? null) : null;
+  }
+
+  /** Resolves with whether the record has been read within some milliseconds. */
+  whenRecalled(timeoutMs: number): Promise<boolean> {
+    if (this.current) return Promise.resolve(true);
+    return new Promise(resolve => {
+      const settle = (): void => {
+        clearTimeout(timer);
+        this.recallListeners.delete(settle);
+        resolve(this.current !== null);
+      };
+      const timer = setTimeout(settle, timeoutMs);
+      this.recallListeners.add(settle);
+    });
   }
 
   /** Whether it covers all streams that may still be resumed. */
   isComplete(nowMs: number): boolean {
+    if (this.current?.isComplete) return true;
     return this.sinceMs !== null && nowMs - this.sinceMs > STREAM_ORIGIN_TTL_MS;
   }
+
+  /** Whether it has covered all such streams since this process started. */
+  get hasBeenComplete(): boolean {
+    return this.wasEverComplete;
+  }
+
+  private noteCompleteness(nowMs: number): void {
+    this.wasEverComplete ||= this.isComplete(nowMs);
+  }
+
+  private seenOf(service: string): Map<string | null, number> {
+    const seen = this.lastSeenMs.get(service) ?? new Map();
+    this.lastSeenMs.set(service, seen);
+    return seen;
+  }
+
+  private recentOf(service: string, nowMs: number): (string | null)[] {
+    return [...(this.lastSeenMs.get(service) ?? [])]
+      .filter(([, lastMs]) => nowMs - lastMs <= STREAM_ORIGIN_TTL_MS)
+      .map(([version]) => version);
+  }
 }
--- a/packages/gateway/src/stream_resumption.ts
+++ b/packages/gateway/src/stream_resumption.ts
@@ -3,6 +3,7 @@
   StreamOrigin,
   VersionHistory,
 } from './stream_origin.js';
+import {UNKNOWN_VERSION} from './stream_origin.js';
 import type {Route} from './types.js';
 
 /** The service and software version at which a stream goes on. */
@@ -21,14 +22,17 @@
   const services = targets
     .filter(({weight}) => weight > 0)
     .map(({service}) => service);
-  if (origin) return services.includes(origin.service) ? origin : null;
+  if (origin) {
+    const isKnown = origin.softwareVersion !== UNKNOWN_VERSION;
+    return isKnown && services.includes(origin.service) ? origin : null;
+  }
   const [service] = services;
   if (service === undefined || services.length > 1) return null;
   // If there was one version only, the stream began at it; a member that got no
-  // answer may not know of others. Callers that don't name their stream are
-  // served by what this member has seen so far.
-  const isSure = isCertain && versions.isComplete(nowMs);
-  if (resumedRequestId !== null && !isSure) return null;
+  // answer may not know of others. Nobody can be asked about a stream that its
+  // caller does not name.
+  const isSure = resumedRequestId === null || isCertain;
+  if (!isSure || !versions.isComplete(nowMs)) return null;
   const softwareVersion = versions.soleVersionOf(service, nowMs);
   return softwareVersion === null ? null : {service, softwareVersion};
 }
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -248,8 +248,13 @@
       this.gateway,
       this.request,
       this.progress,
-      {upstream: this.placement.upstream, ...this.options},
+      {
+        upstream: this.placement.upstream,
+        ...this.options,
+        socket: exchange.res.socket,
+      },
     );
+    versionTracker.confirm();
     const expectEvent = (): void =>
       this.silenceWatch?.expectWithin(eventTimeoutMs(admission.route));
     expectEvent();
@@ -272,6 +277,7 @@
       onContent: () => this.silenceWatch?.stop(),
       onWritten: expectEvent,
     });
+    if (result.end === 'broken') await versionTracker.whenConfirmed();
     return this.handleRelayResult(exchange, result);
   }
 
--- a/packages/gateway/src/upstream_registry.ts
+++ b/packages/gateway/src/upstream_registry.ts
@@ -130,6 +130,14 @@
     );
   }
 
+  /** The version at which a new stream of a service has to begin; null for any. */
+  versionToBegin(service: string): string | null {
+    const staying = (this.registered.get(service) ?? [])
+      .filter(({isLeaving}) => !isLeaving)
+      .map(({softwareVersion}) => softwareVersion);
+    return this.versions.versionToBegin(service, staying);
+  }
+
   /** Records a complete response, at a monotonic time in milliseconds. */
   recordResponse(instanceId: string, atMs: number): void {
     if (this.byId.has(instanceId)) this.lastResponseMs.set(instanceId, atMs);
