Decide in one place what a response is to its request

A refusal written once more on a kept connection. Not shown for requests that must not be repeated: they go on new connections. Shown for those that may: a refusal without an id, or of an earlier send of the same request, counted as 'not run', so that a resumable stream ran three times of two allowed; an error without an id was passed on as the answer (404). Now a response without an id counts on new connections only, further sends of a request get a new connection, and the question when an upstream started is not answered by what names a request. 2. The next upstream's error in a stream. With a status of its own it was not shown: the stream is cut off. Shown for a head and text inside an unframed body: what is no event is not forwarded and breaks the stream off, after the events before it. A stream goes on only with status 200 and events. 3.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -2,6 +2,9 @@
 
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
 const DATA_LINE = /^data:/m;
+/** A comment, or a field with or without a value. */
+const FIELD_LINE = /^(?::|[A-Za-z][\w-]*(?::|\r?$))/m;
+const STATUS_LINE = /^HTTP\/1\.\d \d/m;
 const LF_TERMINATOR = Buffer.from('\n\n');
 const CRLF_TERMINATOR = Buffer.from('\r\n\r\n');
 
@@ -15,6 +18,8 @@
 
 /** Splits a byte stream into complete server-sent events. */
 export class EventSplitter {
+  /** Whether bytes that are no event have come; what follows them is ignored. */
+  isSpoilt = false;
   private pending: Buffer = Buffer.alloc(0);
 
   /** Number of buffered bytes of an incomplete event. */
@@ -31,8 +36,9 @@
       this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     const events: StreamEvent[] = [];
     for (let end = endOfEvent(rest); end > 0; end = endOfEvent(rest)) {
-      const bytes = rest.subarray(0, end);
-      events.push(parseEvent(bytes));
+      const event = this.isSpoilt ? null : parseEvent(rest.subarray(0, end));
+      if (event) events.push(event);
+      else this.isSpoilt = true;
       rest = rest.subarray(end);
     }
     if (rest.length > MAX_EVENT_BYTES) throw new RangeError('event too long');
@@ -56,8 +62,14 @@
   return crlf + CRLF_TERMINATOR.length;
 }
 
-function parseEvent(bytes: Buffer): StreamEvent {
+/** Parses an event; null if the bytes are none. */
+function parseEvent(bytes: Buffer): StreamEvent | null {
   const text = bytes.toString('latin1');
+  // Faulty upstreams write the head or the text of an error into a stream.
+  const isEmpty = text.trim() === '';
+  if (!isEmpty && (!FIELD_LINE.test(text) || STATUS_LINE.test(text))) {
+    return null;
+  }
   const id = ID_LINE.exec(text)?.[1] ?? null;
   return {bytes, id, hasContent: id !== null || DATA_LINE.test(text)};
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
+import {settingsToRestartFor} from './settings.js';
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StreamArchive} from './stream_archive.js';
@@ -54,19 +55,6 @@
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
-/** Settings bound to sockets or to the process; changes need a restart. */
-const RESTART_SETTINGS = [
-  'memberId',
-  'zone',
-  'callerAddress',
-  'readyAddress',
-  'readyPath',
-  'peerAddress',
-  'metricsPort',
-  'tunnelAddress',
-  'logLevel',
-] as const;
-
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
   readonly settings: GatewaySettings;
@@ -159,12 +147,7 @@
       log,
       options.streamStore,
       () => members.allMembers.length,
-      ({service, softwareVersion}) =>
-        this.upstreams.versions.implies(
-          service,
-          softwareVersion,
-          clock.monotonicMs(),
-        ),
+      origin => this.versions.implies(origin, clock.monotonicMs()),
     );
     const upstreamPaths = new UpstreamPaths({
       clock,
@@ -317,14 +300,6 @@
     return this.context.streamArchive.versionsInUse();
   }
 
-  /**
-   * Begins the history of upstreams' versions anew: the list of upstreams is
-   * loaded again, and some may have come and gone unseen.
-   */
-  restartVersionHistory(): void {
-    this.versions.restart();
-  }
-
   /** Stores again what the platform's store may have lost of this gateway. */
   restoreStored(): void {
     this.context.streamArchive.rewrite();
@@ -346,11 +321,8 @@
     this.context.settings = settings;
     this.dispatcher.setRetryBudget(settings.retryBudget);
     this.context.quotaLedger.setTolerance(settings.quotaTolerance);
-    const needsRestart = RESTART_SETTINGS.filter(
-      name => previous[name] !== settings[name],
-    );
     this.options.log.info('settings_reloaded', {
-      needsRestart: needsRestart.join(',') || undefined,
+      needsRestart: settingsToRestartFor(previous, settings) || undefined,
     });
   }
 
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -40,3 +40,15 @@
     ...history,
   };
 }
+
+/** The version at which a request's stream has to begin; null if any will do. */
+export function versionToBegin(
+  {upstreams}: GatewayContext,
+  {admission}: OpenRequest,
+  service: string,
+  {softwareVersion, lastEventId}: StreamProgress,
+): string | null {
+  const begins = softwareVersion === null && lastEventId === null;
+  const isBound = begins && admission.route.isResumable;
+  return isBound ? upstreams.versionToBegin(service) : null;
+}
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -46,6 +46,14 @@
   return Math.min(route.timeoutMs, patienceMs);
 }
 
+/** Whether a request announces a body, which may be empty. */
+export function hasBodyHeaders({headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 /** Sends a buffered response to the caller. */
 export function sendBufferedResponse(
   {req, res}: OpenRequest,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -17,7 +17,7 @@
 import type {Grant} from './grant.js';
 import {logPlacement, returnGrant} from './grant.js';
 import {checkGrant, confirmLife} from './grant_check.js';
-import {createGrantRequest} from './grant_request.js';
+import {createGrantRequest, versionToBegin} from './grant_request.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
 import {seekOtherUpstream} from './other_upstream.js';
@@ -26,6 +26,7 @@
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
 import {TriedUpstreams} from './tried_upstreams.js';
+import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import type {BufferedResponse} from './upstream_send.js';
 
@@ -118,7 +119,7 @@
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
-        throw this.createCrashRefusal();
+        throw this.createRefusal(GATEWAY_REFUSAL.CRASH_SUSPECTED);
       }
       if (!(await this.isAtRequiredVersion(placed))) continue;
       const outcome = await this.attempt(placed);
@@ -149,7 +150,7 @@
     // A dispatcher of an earlier release does not heed the required version.
     if (softwareVersion !== upstream.softwareVersion) {
       this.returnGrant(placement, RUN_END.CANCELLED);
-      throw this.createNotResumableRefusal();
+      throw this.createRefusal(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
     }
     if (softwareVersion === placement.confirmedVersion) return true;
     const {requestId} = this.request.head;
@@ -210,13 +211,8 @@
       excluded: excluded.slice(-MAX_EXCLUDED_UPSTREAMS),
     };
     const {gateway, service} = this;
-    const grant = await seekOtherUpstream(
-      gateway,
-      requestId,
-      service,
-      request,
-      signal,
-    );
+    const sought = [gateway, requestId, service, request, signal] as const;
+    const grant = await seekOtherUpstream(...sought);
     if (!grant) return;
     if (signal.aborted) {
       returnGrant(gateway, requestId, grant, RUN_END.CANCELLED);
@@ -285,7 +281,7 @@
       });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
         if (this.versionToBegin === null) {
-          return this.createNotResumableRefusal();
+          return this.createRefusal(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
         }
         this.mayBeginAnywhere = true;
         return this.place();
@@ -305,8 +301,8 @@
   }
 
   private logPlacement(grant: Grant): void {
-    const {requestId: id} = this.request.head;
-    const {gateway, service, sends} = this;
+    const {gateway, service, sends, request} = this;
+    const id = request.head.requestId;
     logPlacement(gateway, grant, {id, service, send: sends + 1});
   }
 
@@ -354,13 +350,10 @@
     });
   }
 
-  /** The version at which the stream has to begin; null if any will do. */
   private get versionToBegin(): string | null {
-    const {route} = this.request.admission;
-    const {softwareVersion, lastEventId} = this.progress;
-    const begins = softwareVersion === null && lastEventId === null;
-    if (this.mayBeginAnywhere || !begins || !route.isResumable) return null;
-    return this.gateway.upstreams.versionToBegin(this.service);
+    if (this.mayBeginAnywhere) return null;
+    const {gateway, request, service, progress} = this;
+    return versionToBegin(gateway, request, service, progress);
   }
 
   /**
@@ -384,14 +377,10 @@
     return new GatewayRefusalError(NOT_ACCEPTED, MIN_RETRY_AFTER_MS);
   }
 
-  private createNotResumableRefusal(): GatewayRefusalError {
-    if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
-    return new GatewayRefusalError(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
-  }
-
-  private createCrashRefusal(): GatewayRefusalError {
+  /** A refusal for this reason, unless the request may have run. */
+  private createRefusal(reason: GatewayRefusal): GatewayRefusalError {
     if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
-    return new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
+    return new GatewayRefusalError(reason);
   }
 
   private createUpstreamFailedRefusal(): GatewayRefusalError {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -54,3 +54,26 @@
 
 /** Validated gateway settings. */
 export type GatewaySettings = z.infer<typeof GATEWAY_SETTINGS_SCHEMA>;
+
+/** Settings bound to sockets or to the process; changes need a restart. */
+const RESTART_SETTINGS = [
+  'memberId',
+  'zone',
+  'callerAddress',
+  'readyAddress',
+  'readyPath',
+  'peerAddress',
+  'metricsPort',
+  'tunnelAddress',
+  'logLevel',
+] as const;
+
+/** Changed settings that need a restart, as a list for the log. */
+export function settingsToRestartFor(
+  previous: GatewaySettings,
+  settings: GatewaySettings,
+): string {
+  return RESTART_SETTINGS.filter(
+    name => previous[name] !== settings[name],
+  ).join(',');
+}
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -158,12 +158,15 @@
    * Whether the record alone tells that a stream of a service began at a version,
    * and nothing else has been seen that would have to be recorded.
    */
-  implies(service: string, version: string, nowMs: number): boolean {
+  implies(
+    {service, softwareVersion}: Omit<StreamOrigin, 'send'>,
+    nowMs: number,
+  ): boolean {
     const recent = this.recentOf(service, nowMs);
     return (
       this.current?.isComplete === true &&
-      this.soleVersionOf(service, nowMs) === version &&
-      recent.every(seen => seen === version)
+      this.soleVersionOf(service, nowMs) === softwareVersion &&
+      recent.every(version => version === softwareVersion)
     );
   }
 
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -90,7 +90,10 @@
       const newEvents = splitter
         .push(chunk)
         .filter(event => isAfter(event, progress.lastEventId));
-      if (newEvents.length === 0) continue;
+      if (newEvents.length === 0) {
+        if (splitter.isSpoilt) return createResult('broken');
+        continue;
+      }
       const contentCount = newEvents.filter(event => event.hasContent).length;
       const isFirst = eventCount === 0 && contentCount > 0;
       recordEvents(contentCount);
@@ -106,6 +109,7 @@
         return createResult('caller_gone');
       }
       if (contentCount > 0) options.onWritten();
+      if (splitter.isSpoilt) return createResult('broken');
     }
     if (!exchange.res.complete || exchange.hasFailed()) {
       return createResult('broken');
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,6 +1,5 @@
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
-import type {IncomingMessage} from 'node:http';
 import {
   EVENT_GAP_TIMEOUT_FACTOR,
   MIN_CALL_START_TIMEOUT_MS,
@@ -13,7 +12,12 @@
 import type {RouteLabels} from './gateway_metrics.js';
 import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
-import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
+import {
+  hasBodyHeaders,
+  isRepeatable,
+  isStream,
+  sendBufferedResponse,
+} from './open_request.js';
 import type {Grant} from './grant.js';
 import {endToReport} from './send_blame.js';
 import type {SendOutcome} from './send_outcome.js';
@@ -23,6 +27,7 @@
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
 import {StreamVersionTracker} from './stream_version_tracker.js';
+import {isForeign, judgeResponse} from './response_verdict.js';
 import type {Route, UpstreamResponseHead} from './types.js';
 import type {SendResult} from './upstream_send.js';
 import {bufferResponse, sendToUpstream} from './upstream_send.js';
@@ -30,7 +35,6 @@
 /** Statuses that promise the caller that a request has not and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const FIRST_SERVER_ERROR = 500;
-const FIRST_REDIRECT = 300;
 const OK = 200;
 
 /** The send's place in its request. */
@@ -136,10 +140,11 @@
           hasBody: body.length > 0 || hasBodyHeaders(req),
         }),
         body,
-        // A reset on a reused connection leaves open whether the request ran.
+        // A reset on a reused connection leaves open whether the request ran, and
+        // a refusal there may be that of an earlier send of this request.
         agent: upstreamPaths.agentFor(
           upstream.address,
-          isRepeatable(admission.route),
+          isRepeatable(admission.route) && this.options.send === 1,
         ),
         signal: AbortSignal.any([timer.signal, this.abandonment.signal]),
       },
@@ -156,11 +161,16 @@
   /** Records what the response head says of the upstream. */
   private recordStatements(
     head: UpstreamResponseHead,
-    {res: {socket}}: HttpExchange,
+    {res: {socket}, isReusedConnection}: HttpExchange,
   ): void {
-    // Another upstream at the same address sent it, or it is a late response.
-    if (head.isInstanceMismatch || this.isForOtherRequest(head)) return;
     const {requestId} = this.request.head;
+    // Another upstream at the same address sent it, or it is a late response.
+    if (
+      head.isInstanceMismatch ||
+      isForeign({head, requestId, isReusedConnection})
+    ) {
+      return;
+    }
     const {limitObserver, upstreamStatements} = this.gateway;
     limitObserver.recordResponse(this.placement, head.limits, {
       requestId,
@@ -170,10 +180,6 @@
     upstreamStatements.recordResponse({upstream, head, socket, requestId});
   }
 
-  private isForOtherRequest({requestId}: UpstreamResponseHead): boolean {
-    return requestId !== null && requestId !== this.request.head.requestId;
-  }
-
   private async handleSendResult(sent: SendResult): Promise<SendOutcome> {
     switch (sent.kind) {
       case 'unreachable':
@@ -218,27 +224,41 @@
     exchange: HttpExchange,
     head: UpstreamResponseHead,
   ): Promise<SendOutcome> {
-    const {requestId} = this.request.head;
-    const isForOtherRequest = this.isForOtherRequest(head);
-    const status = exchange.res.statusCode ?? 0;
-    if (head.isNotRun && !isForOtherRequest) {
-      exchange.res.resume();
-      const {REPLACED, REJECTED} = RUN_END;
-      const end = head.isInstanceMismatch ? REPLACED : REJECTED;
-      return notRun(end, `rejected without running, status ${status}`, true);
-    }
-    const isSuccess = status >= OK && status < FIRST_REDIRECT;
-    const isVerified = head.requestId === requestId && head.isSealed;
-    if (isForOtherRequest || (isSuccess && !isVerified)) {
-      exchange.abort();
-      return failedRun(
-        RUN_END.FAILED,
-        'response does not belong to this request',
-      );
+    const {statusCode: status = 0, headers} = exchange.res;
+    const verdict = judgeResponse({
+      head,
+      status,
+      contentType: headers['content-type'],
+      requestId: this.request.head.requestId,
+      isReusedConnection: exchange.isReusedConnection,
+      isStreamRequest: isStream(this.request.admission.route),
+      hasSentHead: this.progress.hasSentHead,
+    });
+    switch (verdict) {
+      case 'not_run':
+      case 'replaced': {
+        exchange.res.resume();
+        const {REPLACED, REJECTED} = RUN_END;
+        const end = verdict === 'replaced' ? REPLACED : REJECTED;
+        return notRun(end, `rejected without running, status ${status}`, true);
+      }
+      case 'foreign':
+        exchange.abort();
+        return failedRun(
+          RUN_END.FAILED,
+          'response does not belong to this request',
+        );
+      case 'not_continuing':
+        exchange.abort();
+        return failedRun(
+          RUN_END.FAILED,
+          `status ${status} does not continue the stream`,
+        );
+      case 'stream':
+        return this.relay(exchange);
+      case 'whole':
+        return this.relayBuffered(exchange, status);
     }
-    return isSuccess && isStream(this.request.admission.route)
-      ? this.relay(exchange)
-      : this.relayBuffered(exchange, status);
   }
 
   private async relay(exchange: HttpExchange): Promise<SendOutcome> {
@@ -369,13 +389,6 @@
   }
 }
 
-function hasBodyHeaders(req: IncomingMessage): boolean {
-  return (
-    req.headers['content-length'] !== undefined ||
-    req.headers['transfer-encoding'] !== undefined
-  );
-}
-
 /** Milliseconds without an event after which a stream counts as stalled. */
 function eventTimeoutMs({maxEventGapMs}: Route): number {
   return Math.max(
--- a/packages/gateway/src/upstream_life.ts
+++ b/packages/gateway/src/upstream_life.ts
@@ -54,11 +54,17 @@
   const {statusCode = 0, headers, socket} = res;
   try {
     const body = await readBody(res, MAX_LIFE_RESPONSE_BYTES);
+    const head = parseResponse(statusCode, headers);
+    if (head.requestId !== null) {
+      // A late response to a request that was sent on the connection before.
+      opened.value.abort();
+      return 'unreachable';
+    }
     // Some kinds of upstreams don't tell.
     const startedAtUnixMs =
       statusCode === OK ? parseStartTime(body.toString()) : null;
     const life = compareLives(upstream.startedAtUnixMs, startedAtUnixMs);
-    if (life === 'same') onResponse(parseResponse(statusCode, headers), socket);
+    if (life === 'same') onResponse(head, socket);
     return life;
   } catch {
     opened.value.abort();
--- a/packages/gateway/src/version_history.test.ts
+++ b/packages/gateway/src/version_history.test.ts
@@ -19,6 +19,9 @@
   const see = (nowMs: number, ...versions: (string | null)[]): void =>
     history.record(new Map([[SERVICE, versions]]), nowMs);
 
+  const implies = (softwareVersion: string, nowMs: number): boolean =>
+    history.implies({service: SERVICE, softwareVersion}, nowMs);
+
   describe('versionToBegin', () => {
     it('is the recorded one while another is not recorded', () => {
       history.recall(recordOf('v1'), 0);
@@ -45,29 +48,29 @@
   describe('implies', () => {
     it('holds for the only version of the record and of the present', () => {
       see(0, 'v1');
-      expect(history.implies(SERVICE, 'v1', 1)).toBe(false);
+      expect(implies('v1', 1)).toBe(false);
       history.recall(recordOf('v1'), 1);
-      expect(history.implies(SERVICE, 'v1', 1)).toBe(true);
-      expect(history.implies(SERVICE, 'v2', 1)).toBe(false);
+      expect(implies('v1', 1)).toBe(true);
+      expect(implies('v2', 1)).toBe(false);
     });
 
     it('ends with the first entry of another version, for as long as streams last', () => {
       see(0, 'v1');
       history.recall(recordOf('v1'), 0);
       see(1, 'v1', 'v2');
-      expect(history.implies(SERVICE, 'v1', 1)).toBe(false);
+      expect(implies('v1', 1)).toBe(false);
       see(2, 'v2');
       history.recall(recordOf('v2'), 3);
-      expect(history.implies(SERVICE, 'v2', 3)).toBe(false);
+      expect(implies('v2', 3)).toBe(false);
       const laterMs = 2 + STREAM_ORIGIN_TTL_MS + 1;
       see(laterMs, 'v2');
-      expect(history.implies(SERVICE, 'v2', laterMs)).toBe(true);
+      expect(implies('v2', laterMs)).toBe(true);
     });
 
     it('does not hold for upstreams that tell no version', () => {
       see(0, null);
       history.recall(recordOf(null), 0);
-      expect(history.implies(SERVICE, 'v1', 0)).toBe(false);
+      expect(implies('v1', 0)).toBe(false);
     });
   });
 
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -43,6 +43,8 @@
    * loss may look like an end.
    */
   readonly isDelimitedByClose: boolean;
+  /** Whether the connection had been used for other requests. */
+  readonly isReusedConnection: boolean;
 }
 
 function createRequest(call: HttpCall): http.ClientRequest {
@@ -129,6 +131,7 @@
           abort: () => req.destroy(),
           hasFailed: () => hasFailed,
           isDelimitedByClose: endsWithConnection,
+          isReusedConnection: req.reusedSocket,
         }),
       );
     });
