Share where streams begin only if it can't be told from the record

Change: the record also names the routes that led to several services, up to a version of the configuration, so that a stream of a route that moved is not taken up at its new service. What the record implies is neither shared nor stored; when that ends (a new version, a moved route, a member of an earlier release), gateways share and store their open streams at once. Members tell that they heed the record.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {MemberDirectory} from './member_directory.js';
+import {OriginHistory} from './origin_history.js';
 import {NeighbourNotices} from './neighbour_notices.js';
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
@@ -36,11 +37,8 @@
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StreamArchive} from './stream_archive.js';
-import type {
-  VersionHistory,
-  VersionRecord,
-  VersionsByService,
-} from './stream_origin.js';
+import {RouteHistory} from './route_history.js';
+import type {OriginRecord, VersionsByService} from './stream_origin.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {
   GatewayConfig,
@@ -77,6 +75,8 @@
   readonly configState: ConfigState;
   readonly members: MemberDirectory;
   readonly peers: GatewayPeers;
+  /** Where streams can have begun that may still be resumed. */
+  readonly originHistory: OriginHistory;
   private readonly metrics: GatewayMetrics = createGatewayMetrics();
   private readonly network: PeerNetwork;
   private readonly monitor: PeerMonitor;
@@ -90,7 +90,7 @@
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
   private readonly upstreamLimits = new UpstreamLimits();
-  /** Whether the upstreams are known, even if there are none. */
+  /** Whether the upstreams are known. */
   private hasUpstreamList = false;
   private readonly startupGate = new StartupGate(
     () => this.configState.current !== null && this.hasUpstreamList,
@@ -108,8 +108,15 @@
       address: settings.peerAddress,
       isLeaving: false,
       tunnelAddress: settings.tunnelAddress ?? null,
+      goesByOriginRecord: true,
     });
     const {members, network} = this;
+    this.originHistory = new OriginHistory(
+      this.upstreams.versions,
+      new RouteHistory(),
+      clock.monotonicMs,
+      () => members.allGoByOriginRecord,
+    );
     this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
     this.dispatcher = new Dispatcher(
@@ -147,7 +154,7 @@
       log,
       options.streamStore,
       () => members.allMembers.length,
-      origin => this.versions.implies(origin, clock.monotonicMs()),
+      (origin, route) => this.originHistory.implies(origin, route),
     );
     const upstreamPaths = new UpstreamPaths({
       clock,
@@ -168,6 +175,7 @@
       members,
       dispatchClient,
       quotaLedger,
+      originHistory: this.originHistory,
       crashGuard: new CrashGuard(clock, log, members, network, Math.random),
       streamArchive,
       streamOrigins: new StreamOriginDirectory(
@@ -266,6 +274,8 @@
     for (const {name, quota} of cfg.accountsByKey.values()) {
       if (quota) this.context.quotaLedger.openBucket(name, quota, now);
     }
+    this.originHistory.routes.record(cfg, now);
+    this.context.streamOrigins.handleHistoryChanged();
     this.startupGate.check();
     this.idleConnections.setLimit(cfg.limits.idleTimeoutMs);
     this.callerHttpServer.headersTimeout = cfg.limits.headTimeoutMs;
@@ -277,25 +287,17 @@
     this.upstreams.replace(upstreams, this.options.clock.monotonicMs());
     this.dispatcher.setUpstreams(this.upstreams.byService);
     this.context.upstreamPaths.retain(this.upstreams.addresses);
-    this.context.streamArchive.handleVersionsChanged();
+    this.context.streamOrigins.handleHistoryChanged();
     this.startupGate.check();
   }
 
-  /** Software versions of the services, as far as this gateway knows. */
-  get versions(): VersionHistory {
-    return this.upstreams.versions;
-  }
-
-  /** Applies what the gateways recorded of the upstreams' versions. */
-  setVersionRecord(record: VersionRecord): void {
-    this.versions.recall(record, this.options.clock.monotonicMs());
-    this.context.streamArchive.handleVersionsChanged();
+  /** Applies what the gateways recorded of where streams may have begun. */
+  setOriginRecord(record: OriginRecord): void {
+    this.originHistory.recall(record);
+    this.context.streamOrigins.handleHistoryChanged();
   }
 
-  /**
-   * The versions at which streams began that gateways have stored; null if that
-   * can't be read.
-   */
+  /** The versions of streams that gateways have stored; null if unreadable. */
   storedStreamVersions(): Promise<VersionsByService | null> {
     return this.context.streamArchive.versionsInUse();
   }
@@ -342,9 +344,8 @@
   }
 
   /**
-   * Shuts down without aborting requests: fails the readiness check so that
-   * callers go elsewhere, hands queues over, and waits for open requests until
-   * STOP_MARGIN_MS before stopGraceMs has passed.
+   * Shuts down without aborting requests: fails the readiness check, hands queues
+   * over, and waits for open requests until STOP_MARGIN_MS before stopGraceMs.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -8,6 +8,7 @@
 import type {LimitObserver} from './limit_observer.js';
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
+import type {OriginHistory} from './origin_history.js';
 import type {StreamArchive} from './stream_archive.js';
 import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {WireFormat} from './types.js';
@@ -28,6 +29,7 @@
   readonly quotaLedger: QuotaLedger;
   readonly crashGuard: CrashGuard;
   readonly limitObserver: LimitObserver;
+  readonly originHistory: OriginHistory;
   readonly streamArchive: StreamArchive;
   readonly streamOrigins: StreamOriginDirectory;
   readonly upstreamPaths: UpstreamPaths;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,8 @@
 export * from './route_table.js';
 export * from './settings.js';
 export * from './stream_constants.js';
+export * from './origin_history.js';
+export * from './route_history.js';
 export * from './stream_origin.js';
 export * from './stream_relay.js';
 export * from './types.js';
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -10,6 +10,7 @@
   private members = new Map<string, GatewayMember>();
   private readonly suspectedIds = new Set<string>();
   private readonly rankedIdsByKey = new Map<string, string[]>();
+  private goByRecord: boolean | null = null;
   private readonly changeListeners: Array<() => void> = [];
   private readonly suspectListeners: Array<(memberId: string) => void> = [];
 
@@ -27,6 +28,14 @@
     return [...this.members.values()];
   }
 
+  /** Whether all members heed the record of where streams may have begun. */
+  get allGoByOriginRecord(): boolean {
+    this.goByRecord ??= this.allMembers.every(
+      ({goesByOriginRecord}) => goesByOriginRecord === true,
+    );
+    return this.goByRecord;
+  }
+
   /** All members except this one. */
   get otherMembers(): GatewayMember[] {
     return this.allMembers.filter(member => member.id !== this.ownMember.id);
@@ -142,6 +151,7 @@
 
   private notifyChange(): void {
     this.rankedIdsByKey.clear();
+    this.goByRecord = null;
     for (const listener of this.changeListeners) listener();
   }
 }
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -4,7 +4,7 @@
 import type {OpenRequest} from './open_request.js';
 import {VERSION_CONFIRMATION_TIMEOUT_MS} from './stream_constants.js';
 import type {OriginLookup} from './stream_origin.js';
-import type {ResumePlace} from './stream_resumption.js';
+import type {ResumePlace} from './origin_history.js';
 import {placeToResume} from './stream_resumption.js';
 
 /**
@@ -16,18 +16,18 @@
   gateway: GatewayContext,
   {admission, head}: OpenRequest,
 ): Promise<ResumePlace> {
-  const {upstreams, clock, configState, streamOrigins, log} = gateway;
+  const {originHistory, configState, streamOrigins, log} = gateway;
   const {resumedRequestId, requestId} = head;
   const lookup = await findOrigin(gateway, resumedRequestId);
-  const isRecordRead =
-    lookup.origin !== null ||
-    (await upstreams.versions.whenRecalled(VERSION_CONFIRMATION_TIMEOUT_MS));
+  // The record may be about to be read, or written for a new configuration.
+  if (!lookup.origin && !originHistory.isComplete) {
+    await originHistory.versions.whenRecalled(VERSION_CONFIRMATION_TIMEOUT_MS);
+  }
   const place = placeToResume(
     admission.route,
     resumedRequestId,
     lookup,
-    upstreams.versions,
-    clock.monotonicMs(),
+    originHistory,
   );
   log.info('stream_place_decided', {
     id: requestId,
@@ -38,7 +38,9 @@
     viewAgeMs: Math.round(configState.ageMs),
   });
   if (!place) {
-    const mayKnowSoon = !lookup.isCertain || !isRecordRead;
+    const {hasRecord} = originHistory.versions;
+    const isPending = !lookup.origin && !hasRecord;
+    const mayKnowSoon = !lookup.isCertain || isPending;
     throw new GatewayRefusalError(
       GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE,
       mayKnowSoon ? NOT_READY_RETRY_AFTER_MS : undefined,
@@ -46,7 +48,8 @@
   }
   if (resumedRequestId !== null) {
     const send = lookup.origin?.send ?? 1;
-    void streamOrigins.share(resumedRequestId, {...place, send});
+    const origin = {...place, send};
+    void streamOrigins.share(resumedRequestId, origin, admission.route);
   }
   return place;
 }
--- a/packages/gateway/src/stream_archive.ts
+++ b/packages/gateway/src/stream_archive.ts
@@ -13,7 +13,7 @@
 import type {StreamOrigin, VersionsByService} from './stream_origin.js';
 import {latestOrigin} from './stream_origin.js';
 import {decodeSnapshot, encodeSnapshot} from './stream_snapshot.js';
-import type {StreamStore} from './types.js';
+import type {Route, StreamStore} from './types.js';
 
 /** What the archive has of a stream. */
 export interface ArchiveLookup {
@@ -25,18 +25,29 @@
 /** Where the archived streams began, by request id. */
 type Origins = ReadonlyMap<string, StreamOrigin>;
 
-/** Whether members know where a stream began even if all of them have ended. */
-export type IsImplied = (origin: StreamOrigin) => boolean;
+/**
+ * Whether members can tell where a stream of a route began even if all of them
+ * have ended.
+ */
+export type IsImplied = (origin: StreamOrigin, route: Route) => boolean;
+
+/** A stream that is open or broke off recently. */
+interface ArchivedStream {
+  readonly origin: StreamOrigin;
+  readonly route: Route;
+  /** Whether it was implied when it was looked at last. */
+  isImplied: boolean;
+}
 
 /**
  * Keeps where the streams of this member began outside of all members, so that
  * they can be resumed after all members have ended. Each member stores one
- * snapshot of those that are open or broke off recently, but for those whose
- * version follows from the versions that are recorded. Snapshots are written
+ * snapshot of those that are open or broke off recently, but for those that can be
+ * told from the members' record. Snapshots are written
  * behind: a stream is not delayed, and one of the last moments may be missing.
  */
 export class StreamArchive {
-  private readonly origins = new LRUCache<string, StreamOrigin>({
+  private readonly streams = new LRUCache<string, ArchivedStream>({
     max: MAX_ARCHIVED_STREAMS,
     ttl: STREAM_ORIGIN_TTL_MS,
   });
@@ -48,8 +59,6 @@
   private lastWriteMs = -Infinity;
   private lastRead: Promise<unknown> = Promise.resolve();
   private nextRead: Promise<Origins | null> | null = null;
-  /** Services whose streams are stored. */
-  private storedServices = new Set<string>();
   private readonly refreshTimer: NodeJS.Timeout;
 
   constructor(
@@ -62,32 +71,47 @@
     this.refreshTimer = setInterval(() => this.rewrite(), SNAPSHOT_REFRESH_MS);
   }
 
-  /** Records where a stream begins that this member serves. */
-  open(requestId: string, origin: StreamOrigin): void {
-    if (requestId.length > MAX_STREAM_ID_LENGTH) return;
-    this.origins.set(requestId, origin);
-    if (this.isImplied(origin)) return;
-    this.storedServices.add(origin.service);
-    this.isDirty = true;
-    this.scheduleWrite();
+  /**
+   * Records where a stream begins that this member serves; returns whether other
+   * members have to be told.
+   */
+  open(requestId: string, origin: StreamOrigin, route: Route): boolean {
+    const isImplied = this.isImplied(origin, route);
+    if (requestId.length <= MAX_STREAM_ID_LENGTH) {
+      this.streams.set(requestId, {origin, route, isImplied});
+      if (!isImplied) this.markDirty();
+    }
+    return !isImplied;
+  }
+
+  /** Records the end of a stream; one that broke off may yet be resumed. */
+  end(requestId: string, isComplete: boolean): void {
+    const stream = this.streams.get(requestId);
+    if (!stream) return;
+    if (isComplete) this.streams.delete(requestId);
+    else this.streams.set(requestId, stream, {ttl: BROKEN_STREAM_TTL_MS});
   }
 
   /**
-   * Stores the open streams of services of which the versions that were recorded
-   * no longer tell where streams began. Called when versions or their record
-   * have changed.
+   * Returns the streams that were implied and are not any more, and stores them
+   * from now on.
    */
-  handleVersionsChanged(): void {
-    const stored = new Set<string>();
-    for (const origin of this.origins.values()) {
-      const {service} = origin;
-      if (!stored.has(service) && !this.isImplied(origin)) stored.add(service);
+  takeUnimplied(): [string, StreamOrigin][] {
+    const unimplied: [string, StreamOrigin][] = [];
+    for (const [requestId, stream] of this.streams.entries()) {
+      const {origin, route} = stream;
+      if (!stream.isImplied || this.isImplied(origin, route)) continue;
+      stream.isImplied = false;
+      unimplied.push([requestId, origin]);
     }
-    const isNew = [...stored].some(name => !this.storedServices.has(name));
-    this.storedServices = stored;
-    if (!isNew) return;
-    this.isDirty = true;
-    this.scheduleWrite();
+    if (unimplied.length > 0) this.markDirty();
+    return unimplied;
+  }
+
+  /** Stores the snapshot again, as the store may have lost it. */
+  rewrite(): void {
+    this.streams.purgeStale();
+    if (this.stored().length > 0) this.markDirty();
   }
 
   /** The versions at which archived streams began; null if it can't be read. */
@@ -103,23 +127,6 @@
     return versions;
   }
 
-  /** Records the end of a stream; one that broke off may yet be resumed. */
-  end(requestId: string, isComplete: boolean): void {
-    const origin = this.origins.get(requestId);
-    if (!origin) return;
-    if (isComplete) this.origins.delete(requestId);
-    else this.origins.set(requestId, origin, {ttl: BROKEN_STREAM_TTL_MS});
-  }
-
-  /** Stores the snapshot again, as the store may have lost it. */
-  rewrite(): void {
-    this.origins.purgeStale();
-    const stored = [...this.origins.values()].some(o => !this.isImplied(o));
-    if (!stored) return;
-    this.isDirty = true;
-    this.scheduleWrite();
-  }
-
   /** Finds where a stream began in the snapshots of all members. */
   async find(requestId: string): Promise<ArchiveLookup> {
     const origins = await this.read();
@@ -134,6 +141,18 @@
     if (this.timer) clearTimeout(this.timer);
   }
 
+  /** The streams that the snapshot has to have. */
+  private stored(): [string, StreamOrigin][] {
+    return [...this.streams.entries()]
+      .filter(([, {isImplied}]) => !isImplied)
+      .map(([requestId, {origin}]) => [requestId, origin]);
+  }
+
+  private markDirty(): void {
+    this.isDirty = true;
+    this.scheduleWrite();
+  }
+
   private scheduleWrite(): void {
     if (this.timer || this.isWriting || this.isClosed) return;
     const intervalMs = Math.max(
@@ -152,10 +171,7 @@
     this.isWriting = true;
     this.isDirty = false;
     this.lastWriteMs = this.clock.monotonicMs();
-    const stored = [...this.origins.entries()].filter(
-      ([, origin]) => !this.isImplied(origin),
-    );
-    const isStored = await this.store.write(encodeSnapshot(stored));
+    const isStored = await this.store.write(encodeSnapshot(this.stored()));
     this.isWriting = false;
     if (!isStored) this.isDirty = true;
     if (isStored === this.hasFailed) {
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -1,3 +1,4 @@
+import type {ServicesByRoute} from './route_history.js';
 import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
 
 /**
@@ -48,9 +49,16 @@
 /** Software versions by service; null for one that is not known. */
 export type VersionsByService = ReadonlyMap<string, readonly (string | null)[]>;
 
-/** The versions at which streams may have begun, as the members recorded them. */
-export interface VersionRecord {
+/**
+ * Where streams may have begun that may still be resumed, as the members recorded
+ * it outside of all members.
+ */
+export interface OriginRecord {
+  /** Versions of the services. */
   readonly versions: VersionsByService;
+  /** Routes that led to several services, up to `configVersion`. */
+  readonly movedRoutes: ServicesByRoute;
+  readonly configVersion: number;
   /** Whether it also tells of the time before this process started. */
   readonly isComplete: boolean;
 }
@@ -63,8 +71,8 @@
   private readonly lastSeenMs = new Map<string, Map<string | null, number>>();
   private sinceMs: number | null = null;
   /** The record in force; null while it has to be read again. */
-  private current: VersionRecord | null = null;
-  private recalled: VersionRecord | null = null;
+  private current: OriginRecord | null = null;
+  private recalled: OriginRecord | null = null;
   private wasEverComplete = false;
   private readonly recallListeners = new Set<() => void>();
 
@@ -92,7 +100,7 @@
    * Applies the members' record. Versions that only it has count as seen when it
    * was first read.
    */
-  recall(record: VersionRecord, nowMs: number): void {
+  recall(record: OriginRecord, nowMs: number): void {
     this.current = record;
     this.noteCompleteness(nowMs);
     for (const listener of [...this.recallListeners]) listener();
@@ -170,14 +178,18 @@
     );
   }
 
-  /** Resolves with whether the record has been read within some milliseconds. */
-  whenRecalled(timeoutMs: number): Promise<boolean> {
-    if (this.current) return Promise.resolve(true);
+  /** Whether the record has been read. */
+  get hasRecord(): boolean {
+    return this.current !== null;
+  }
+
+  /** Resolves when the record is read next, at the latest after some ms. */
+  whenRecalled(timeoutMs: number): Promise<void> {
     return new Promise(resolve => {
       const settle = (): void => {
         clearTimeout(timer);
         this.recallListeners.delete(settle);
-        resolve(this.current !== null);
+        resolve();
       };
       const timer = setTimeout(settle, timeoutMs);
       this.recallListeners.add(settle);
@@ -186,7 +198,11 @@
 
   /** Whether it covers all streams that may still be resumed. */
   isComplete(nowMs: number): boolean {
-    if (this.current?.isComplete) return true;
+    return this.current?.isComplete === true || this.isOldEnough(nowMs);
+  }
+
+  /** Whether this member has seen all versions for as long as streams last. */
+  isOldEnough(nowMs: number): boolean {
     return this.sinceMs !== null && nowMs - this.sinceMs > STREAM_ORIGIN_TTL_MS;
   }
 
--- a/packages/gateway/src/stream_origin_directory.ts
+++ b/packages/gateway/src/stream_origin_directory.ts
@@ -17,7 +17,7 @@
 import type {ArchiveLookup, StreamArchive} from './stream_archive.js';
 import type {OriginLookup, StreamOrigin} from './stream_origin.js';
 import {latestOrigin} from './stream_origin.js';
-import type {GatewayMember} from './types.js';
+import type {GatewayMember, Route} from './types.js';
 
 /**
  * Knows where streams began, so that their callers can resume them through any
@@ -50,12 +50,35 @@
   }
 
   /**
-   * Records an origin here, at other members and in the archive. Resolves when
-   * another member has it, at the latest after ORIGIN_SHARE_TIMEOUT_MS.
+   * Records an origin here and, unless the members can tell it from what they
+   * recorded, at other members and in the archive. Resolves when another member
+   * has it, at the latest after ORIGIN_SHARE_TIMEOUT_MS.
    */
-  async share(requestId: string, origin: StreamOrigin): Promise<void> {
+  async share(
+    requestId: string,
+    origin: StreamOrigin,
+    route: Route,
+  ): Promise<void> {
     this.record(requestId, origin);
-    this.archive.open(requestId, origin);
+    if (this.archive.open(requestId, origin, route)) {
+      await this.shareWithHolders(requestId, origin);
+    }
+  }
+
+  /**
+   * Shares the origins of open streams that can't be told any more from what the
+   * members recorded. Called when that or what they see has changed.
+   */
+  handleHistoryChanged(): void {
+    for (const [requestId, origin] of this.archive.takeUnimplied()) {
+      void this.shareWithHolders(requestId, origin);
+    }
+  }
+
+  private async shareWithHolders(
+    requestId: string,
+    origin: StreamOrigin,
+  ): Promise<void> {
     const holders = this.othersFor(requestId).slice(0, ORIGIN_COPIES);
     if (holders.length === 0) return;
     const calls = holders.map(async holder => {
--- a/packages/gateway/src/stream_resumption.ts
+++ b/packages/gateway/src/stream_resumption.ts
@@ -1,38 +1,27 @@
-import type {
-  OriginLookup,
-  StreamOrigin,
-  VersionHistory,
-} from './stream_origin.js';
+import type {OriginHistory, ResumePlace} from './origin_history.js';
+import {servicesOf} from './route_history.js';
+import type {OriginLookup} from './stream_origin.js';
 import {UNKNOWN_VERSION} from './stream_origin.js';
 import type {Route} from './types.js';
 
-/** The service and software version at which a stream goes on. */
-export type ResumePlace = Pick<StreamOrigin, 'service' | 'softwareVersion'>;
-
 /**
  * Decides where a stream that its caller takes up goes on; null if it can't.
  */
 export function placeToResume(
-  {targets}: Pick<Route, 'targets'>,
+  route: Route,
   resumedRequestId: string | null,
   {origin, isCertain}: OriginLookup,
-  versions: VersionHistory,
-  nowMs: number,
+  history: Pick<OriginHistory, 'isComplete' | 'solePlaceOf'>,
 ): ResumePlace | null {
-  const services = targets
-    .filter(({weight}) => weight > 0)
-    .map(({service}) => service);
   if (origin) {
     const isKnown = origin.softwareVersion !== UNKNOWN_VERSION;
-    return isKnown && services.includes(origin.service) ? origin : null;
+    return isKnown && servicesOf(route).includes(origin.service)
+      ? origin
+      : null;
   }
-  const [service] = services;
-  if (service === undefined || services.length > 1) return null;
-  // If there was one version only, the stream began at it; a member that got no
+  // If there was one place only, the stream began there; a member that got no
   // answer may not know of others. Nobody can be asked about a stream that its
   // caller does not name.
   const isSure = resumedRequestId === null || isCertain;
-  if (!isSure || !versions.isComplete(nowMs)) return null;
-  const softwareVersion = versions.soleVersionOf(service, nowMs);
-  return softwareVersion === null ? null : {service, softwareVersion};
+  return isSure && history.isComplete ? history.solePlaceOf(route) : null;
 }
--- a/packages/gateway/src/stream_version_tracker.ts
+++ b/packages/gateway/src/stream_version_tracker.ts
@@ -109,7 +109,8 @@
     const {service, send} = this.streamSend;
     const {requestId} = this.request.head;
     const origin = {service, softwareVersion, send};
-    await this.gateway.streamOrigins.share(requestId, origin);
+    const {route} = this.request.admission;
+    await this.gateway.streamOrigins.share(requestId, origin, route);
   }
 
   /**
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -161,6 +161,11 @@
   readonly isLeaving: boolean;
   /** Host and port at which it opens tunnels to upstreams; null if it doesn't. */
   readonly tunnelAddress: string | null;
+  /**
+   * Whether it heeds the record of where streams may have begun; members of
+   * earlier releases don't.
+   */
+  readonly goesByOriginRecord?: boolean;
 }
 
 /** A value that a member has stored, with its name for the log. */
--- a/packages/gateway/src/version_history.test.ts
+++ b/packages/gateway/src/version_history.test.ts
@@ -1,12 +1,17 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
-import type {VersionRecord} from './stream_origin.js';
+import type {OriginRecord} from './stream_origin.js';
 import {VersionHistory} from './stream_origin.js';
 
 const SERVICE = 'app';
 
-function recordOf(...versions: (string | null)[]): VersionRecord {
-  return {versions: new Map([[SERVICE, versions]]), isComplete: true};
+function recordOf(...versions: (string | null)[]): OriginRecord {
+  return {
+    versions: new Map([[SERVICE, versions]]),
+    movedRoutes: new Map(),
+    configVersion: 1,
+    isComplete: true,
+  };
 }
 
 describe('VersionHistory', () => {
--- a/packages/transport/src/peer_connection.ts
+++ b/packages/transport/src/peer_connection.ts
@@ -8,41 +8,47 @@
 import {MAX_PEER_BACKLOG_BYTES} from './constants.js';
 import type {ByteCounts} from './types.js';
 
+const NEWLINE = 10;
+
 /** Handles one method called by a peer; `params` are not validated yet. */
 export type PeerHandler = (params: unknown) => unknown;
 
 /** Handlers by method name. */
 export type PeerHandlers = Readonly<Record<string, PeerHandler>>;
 
-/**
- * Splits a socket's bytes into lines; throws a RangeError if an incomplete line
- * exceeds MAX_PEER_LINE_BYTES.
- */
-export async function* readLines(
-  socket: AsyncIterable<Buffer>,
-): AsyncGenerator<string> {
-  let chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of socket) {
+/** Splits received bytes into lines. */
+class LineSplitter {
+  private chunks: Buffer[] = [];
+  private size = 0;
+
+  /**
+   * Appends bytes and returns the lines that they complete; throws a RangeError
+   * if an incomplete line exceeds MAX_PEER_LINE_BYTES.
+   */
+  push(chunk: Buffer): string[] {
+    const lines: string[] = [];
     let start = 0;
-    let end = chunk.indexOf(10);
+    let end = chunk.indexOf(NEWLINE);
     while (end >= 0) {
-      chunks.push(chunk.subarray(start, end));
-      yield Buffer.concat(chunks).toString();
-      chunks = [];
-      size = 0;
+      this.chunks.push(chunk.subarray(start, end));
+      lines.push(Buffer.concat(this.chunks).toString());
+      this.chunks = [];
+      this.size = 0;
       start = end + 1;
-      end = chunk.indexOf(10, start);
+      end = chunk.indexOf(NEWLINE, start);
     }
-    chunks.push(chunk.subarray(start));
-    size += chunk.length - start;
-    if (size > MAX_PEER_LINE_BYTES) throw new RangeError('line too long');
+    this.chunks.push(chunk.subarray(start));
+    this.size += chunk.length - start;
+    if (this.size > MAX_PEER_LINE_BYTES) throw new RangeError('line too long');
+    return lines;
   }
 }
 
 /** JSON-RPC connection to one peer, with one message per line. */
 export class PeerConnection {
   private readonly rpc: JSONRPCServerAndClient;
+  private readonly lines = new LineSplitter();
+  private isHolding = false;
 
   constructor(
     private readonly socket: Socket,
@@ -61,16 +67,21 @@
   }
 
   /** Handles incoming lines until the connection ends; never rejects. */
-  async serve(): Promise<void> {
-    try {
-      for await (const line of readLines(this.countReceived())) {
-        void this.handleLine(line);
+  serve(): Promise<void> {
+    return new Promise(resolve => {
+      if (this.socket.destroyed) {
+        this.close();
+        resolve();
+        return;
       }
-    } catch {
-      // A broken connection ends like a closed one.
-    } finally {
-      this.close();
-    }
+      // Events cost far less than an iteration for each chunk.
+      this.socket.on('data', chunk => this.receive(chunk));
+      this.socket.once('end', () => this.close());
+      this.socket.once('close', () => {
+        this.close();
+        resolve();
+      });
+    });
   }
 
   /** Calls a method and returns its answer; rejects on an error or a close. */
@@ -89,10 +100,13 @@
     this.socket.destroy();
   }
 
-  private async *countReceived(): AsyncGenerator<Buffer> {
-    for await (const chunk of this.socket as AsyncIterable<Buffer>) {
-      this.counts.received += chunk.length;
-      yield chunk;
+  private receive(chunk: Buffer): void {
+    this.counts.received += chunk.length;
+    try {
+      for (const line of this.lines.push(chunk)) void this.handleLine(line);
+    } catch {
+      // The peer sends no lines; a broken connection ends like a closed one.
+      this.close();
     }
   }
 
@@ -108,7 +122,19 @@
     if (this.socket.destroyed) throw new Error('connection closed');
     const line = `${JSON.stringify(message)}\n`;
     this.counts.sent += line.length;
+    this.holdUntilTick();
     this.socket.write(line);
     if (this.socket.writableLength > MAX_PEER_BACKLOG_BYTES) this.close();
   }
+
+  /** Has the messages of one turn of the event loop sent in one write. */
+  private holdUntilTick(): void {
+    if (this.isHolding) return;
+    this.isHolding = true;
+    this.socket.cork();
+    process.nextTick(() => {
+      this.isHolding = false;
+      this.socket.uncork();
+    });
+  }
 }
