Run the timers of queues, waits and lost paths only while they are needed

Change: OnDemandInterval; the queue's tick (25 ms) runs at owners, the check of silent peers (40 ms) while something is waited for, pings of suspects and probes of lost paths (300 ms) while there are any.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -8,4 +8,5 @@
 export * from './list_schema.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './on_demand_interval.js';
 export * from './types.js';
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,4 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
+import {OnDemandInterval} from '@fescuespool/common';
 import type {
   EndReport,
   GrantRequest,
@@ -32,8 +33,11 @@
   readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
   private upstreams: UpstreamsByService = new Map();
-  private readonly timer: NodeJS.Timeout;
-  private lastTickMs: number;
+  private readonly ticks = new OnDemandInterval(QUEUE_TICK_INTERVAL_MS, () => {
+    this.tick();
+    return this.queues.size > 0;
+  });
+  private lastTickMs = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -47,8 +51,6 @@
     private readonly hasSuspects: () => boolean,
   ) {
     this.rateLimiter = new UpstreamRateLimiter(upstreamLimits, this.pauses);
-    this.lastTickMs = clock.monotonicMs();
-    this.timer = setInterval(() => this.tick(), QUEUE_TICK_INTERVAL_MS);
   }
 
   /**
@@ -149,7 +151,7 @@
 
   /** Stops the timer and closes all queues. */
   close(): void {
-    clearInterval(this.timer);
+    this.ticks.close();
     for (const queue of this.queues.values()) queue.close();
     this.queues.clear();
   }
@@ -165,6 +167,7 @@
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     this.queues.set(service, queue);
+    if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
     this.log.info('queue_opened', {service});
     return queue;
   }
@@ -179,6 +182,7 @@
    * MAX_QUEUE_TICK_GAP_MS: the entries have moved to another member meanwhile.
    */
   private rebuildAfterStall(): void {
+    if (this.queues.size === 0) return;
     const now = this.clock.monotonicMs();
     const gapMs = now - this.lastTickMs;
     this.lastTickMs = now;
--- a/packages/gateway/src/peer_monitor.ts
+++ b/packages/gateway/src/peer_monitor.ts
@@ -1,4 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
+import {OnDemandInterval} from '@fescuespool/common';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {
   GATEWAY_METHOD,
@@ -28,8 +29,17 @@
  */
 export class PeerMonitor {
   private readonly watches = new Map<string, PeerWatch>();
-  private readonly timers: NodeJS.Timeout[];
-  private lastCheckMs: number;
+  private readonly checks = new OnDemandInterval(PING_AFTER_SILENCE_MS, () =>
+    this.checkWatches(),
+  );
+  private readonly suspectPings = new OnDemandInterval(
+    SUSPECT_PING_INTERVAL_MS,
+    () => {
+      void this.pingSuspects();
+      return this.members.suspectedMembers.length > 0;
+    },
+  );
+  private lastCheckMs = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -37,11 +47,7 @@
     private readonly members: MemberDirectory,
     private readonly network: PeerNetwork,
   ) {
-    this.lastCheckMs = clock.monotonicMs();
-    this.timers = [
-      setInterval(() => this.checkWatches(), PING_AFTER_SILENCE_MS),
-      setInterval(() => void this.pingSuspects(), SUSPECT_PING_INTERVAL_MS),
-    ];
+    members.onSuspected(() => this.suspectPings.start());
   }
 
   /**
@@ -55,6 +61,7 @@
     const watch = this.watchOf(member.id);
     if (watch.activeWaits === 0) watch.lastContactMs = this.clock.monotonicMs();
     watch.activeWaits++;
+    if (this.checks.start()) this.lastCheckMs = this.clock.monotonicMs();
     let notifySuspected: () => void = () => undefined;
     const suspected = new Promise<void>(resolve => {
       notifySuspected = resolve;
@@ -81,7 +88,8 @@
 
   /** Stops all pings. */
   close(): void {
-    for (const timer of this.timers) clearInterval(timer);
+    this.checks.close();
+    this.suspectPings.close();
   }
 
   private watchOf(id: string): PeerWatch {
@@ -97,18 +105,23 @@
     return watch;
   }
 
-  private checkWatches(): void {
+  /** Pings members that are silent; returns whether any is waited for. */
+  private checkWatches(): boolean {
     const now = this.clock.monotonicMs();
     const stalledMs = now - this.lastCheckMs - PING_AFTER_SILENCE_MS;
     this.lastCheckMs = now;
+    let isWaiting = false;
     for (const [id, watch] of this.watches) {
-      if (watch.activeWaits === 0 || watch.isPinging) continue;
+      if (watch.activeWaits === 0) continue;
+      isWaiting = true;
+      if (watch.isPinging) continue;
       if (now - watch.lastContactMs < PING_AFTER_SILENCE_MS) continue;
       // After a stall of this process, answers may have arrived that have not
       // been read yet, so the silence is no evidence against the member.
       if (stalledMs > PROCESS_STALL_THRESHOLD_MS) continue;
       void this.pingMember(id, watch);
     }
+    return isWaiting;
   }
 
   private async pingMember(id: string, watch: PeerWatch): Promise<void> {
--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -1,5 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
-import {sleep} from '@fescuespool/common';
+import {OnDemandInterval, sleep} from '@fescuespool/common';
 import type {ConnectSocket} from '@fescuespool/transport';
 import {
   SingleUseAgent,
@@ -75,7 +75,10 @@
   private readonly neighbours: NeighbourTunnels;
   /** Neighbours whose tunnels connections go through. */
   private readonly neighboursBySocket = new WeakMap<Socket, GatewayMember>();
-  private readonly timer: NodeJS.Timeout;
+  private readonly probes = new OnDemandInterval(PATH_PROBE_INTERVAL_MS, () => {
+    void this.probeLostPaths();
+    return this.lostCount > 0;
+  });
   private wasCutOff = false;
 
   constructor(private readonly options: UpstreamPathsOptions) {
@@ -113,10 +116,6 @@
         return socket instanceof Error ? null : socket;
       },
     });
-    this.timer = setInterval(
-      () => void this.probeLostPaths(),
-      PATH_PROBE_INTERVAL_MS,
-    );
   }
 
   /** Number of upstreams to which this gateway's own path is lost. */
@@ -174,7 +173,7 @@
 
   /** Closes all connections and stops probing. */
   close(): void {
-    clearInterval(this.timer);
+    this.probes.close();
     this.pooledAgent.destroy();
     this.singleUseAgent.destroy();
     this.tunnels.close();
@@ -271,6 +270,7 @@
     const {clock, log} = this.options;
     if (!this.state.isLost(address)) log.warn('upstream_path_lost', {address});
     this.state.recordLost(address, clock.monotonicMs());
+    this.probes.start();
     this.reportCut();
   }
 
