Relay streams by events, and set one timer for the silence of each

Cause: each event of a stream cost an iteration of an asynchronous iterator, several promises, and a timer that was cleared and set twice.

Change: StreamRelay listens to the response; chunks that need no wait cost no promise. SilenceWatch keeps its timer and looks at the time when it ends.

--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -18,7 +18,11 @@
   /** Whether the send was abandoned for another upstream. */
   hasOther = false;
   private search: AbortController | null = null;
+  /** When a sign of life is due; Infinity while none is expected. */
+  private dueAtMs = Infinity;
+  private timeoutMs = 0;
   private timer: NodeJS.Timeout | null = null;
+  private timerEndsAtMs = Infinity;
 
   constructor(
     private readonly seekOther: SeekOther,
@@ -27,16 +31,45 @@
 
   /** Expects a sign of life within some milliseconds; ends a present search. */
   expectWithin(timeoutMs: number): void {
-    this.stop();
+    this.pause();
     if (this.hasOther) return;
-    this.timer = setTimeout(() => void this.seek(timeoutMs), timeoutMs);
+    this.timeoutMs = timeoutMs;
+    this.dueAtMs = performance.now() + timeoutMs;
+    // A timer that ends too early is set again then, not at each event.
+    if (this.timer && this.timerEndsAtMs <= this.dueAtMs) return;
+    this.setTimer();
   }
 
   /** Expects nothing until `expectWithin` is called again. */
-  stop(): void {
+  pause(): void {
     this.search?.abort();
     this.search = null;
+    this.dueAtMs = Infinity;
+  }
+
+  /** The same, at the end of the send. */
+  stop(): void {
+    this.pause();
+    this.clearTimer();
+  }
+
+  private setTimer(): void {
+    this.clearTimer();
+    this.timerEndsAtMs = this.dueAtMs;
+    const leftMs = Math.max(0, Math.ceil(this.dueAtMs - performance.now()));
+    this.timer = setTimeout(() => this.check(), leftMs);
+  }
+
+  private clearTimer(): void {
     if (this.timer) clearTimeout(this.timer);
+    this.timer = null;
+  }
+
+  private check(): void {
+    this.timer = null;
+    if (this.dueAtMs === Infinity) return;
+    if (performance.now() < this.dueAtMs) this.setTimer();
+    else void this.seek(this.timeoutMs);
   }
 
   private async seek(timeoutMs: number): Promise<void> {
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -1,6 +1,6 @@
 import {RESPONSE_SURVIVAL_MS} from '@fescuespool/coordination';
 import type {HttpExchange} from '@fescuespool/transport';
-import {writeWithBackpressure} from '@fescuespool/transport';
+import {whenDrained} from '@fescuespool/transport';
 import type {ServerResponse} from 'node:http';
 import type {StreamEvent} from './event_splitter.js';
 import {EventSplitter} from './event_splitter.js';
@@ -58,76 +58,170 @@
  * Forwards complete events as they arrive. A partial event never reaches the
  * caller, so that another upstream can resume after the last complete one.
  */
-export async function relayStream(
+export function relayStream(
   exchange: HttpExchange,
   options: RelayOptions,
 ): Promise<RelayResult> {
-  const {res, progress, nowMs} = options;
-  const splitter = new EventSplitter();
-  let eventCount = 0;
-  let firstAtMs = 0;
-  let lastAtMs = 0;
-  const createResult = (end: RelayEnd): RelayResult => ({
-    end,
-    eventCount,
-    eventGapMs:
-      eventCount < 2 ? null : (lastAtMs - firstAtMs) / (eventCount - 1),
-  });
+  return new StreamRelay(exchange, options).run();
+}
+
+/**
+ * Relays one upstream's stream. Listens to events instead of iterating, which
+ * costs several promises for each chunk.
+ */
+class StreamRelay {
+  private readonly splitter = new EventSplitter();
+  private eventCount = 0;
+  private firstAtMs = 0;
+  private lastAtMs = 0;
+  private hasEnded = false;
+  /** Whether the upstream's response ended without a loss; null until it ends. */
+  private endsOrderly: boolean | null = null;
+  /** Whether a chunk waits to be forwarded. */
+  private isWaiting = false;
+  private resolve: (result: RelayResult) => void = () => undefined;
+
+  constructor(
+    private readonly exchange: HttpExchange,
+    private readonly options: RelayOptions,
+  ) {}
+
+  run(): Promise<RelayResult> {
+    const {res} = this.exchange;
+    return new Promise(resolve => {
+      this.resolve = resolve;
+      res.on('data', (chunk: Buffer) => this.receive(chunk));
+      res.once('end', () => this.handleSourceEnd(true));
+      // The connection broke or was aborted; whoever called decides whether to
+      // retry. The listener stays, as an error may follow.
+      res.on('error', () => this.handleSourceEnd(false));
+      res.once('close', () => this.handleSourceEnd(false));
+      if (res.destroyed) this.finish('broken');
+    });
+  }
+
+  /** Notes the end; the last bytes may still wait to be forwarded. */
+  private handleSourceEnd(isOrderly: boolean): void {
+    this.endsOrderly ??= isOrderly;
+    if (!this.isWaiting) this.finishAtSourceEnd();
+  }
+
+  private finishAtSourceEnd(): void {
+    this.finish(this.endsOrderly ? this.judgeEnd() : 'broken');
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.hasEnded) return;
+    try {
+      const isForwarded = this.forward(chunk);
+      if (isForwarded === true) return;
+      this.isWaiting = true;
+      this.exchange.res.pause();
+      void isForwarded.then(
+        () => this.goOn(),
+        () => this.finish('broken'),
+      );
+    } catch {
+      this.finish('broken');
+    }
+  }
+
+  private goOn(): void {
+    this.isWaiting = false;
+    if (this.hasEnded) return;
+    if (this.endsOrderly !== null) this.finishAtSourceEnd();
+    else this.exchange.res.resume();
+  }
+
+  /**
+   * Forwards the events that a chunk completes; returns true, or a promise if it
+   * has to wait.
+   */
+  private forward(chunk: Buffer): true | Promise<void> {
+    const {splitter} = this;
+    const {lastEventId} = this.options.progress;
+    const events = splitter.push(chunk).filter(e => isAfter(e, lastEventId));
+    if (events.length === 0) {
+      if (splitter.isSpoilt) this.finish('broken');
+      return true;
+    }
+    const contentCount = events.filter(event => event.hasContent).length;
+    const isFirst = this.eventCount === 0 && contentCount > 0;
+    this.recordEvents(contentCount);
+    if (!isFirst) return this.write(events, contentCount);
+    return this.options.beforeFirstEvent().then(async () => {
+      if (!this.hasEnded) await this.write(events, contentCount);
+    });
+  }
+
   // Comments are forwarded, but a stalled upstream may send them for ever.
-  const recordEvents = (count: number): void => {
+  private recordEvents(count: number): void {
     if (count === 0) return;
+    const {options} = this;
     options.onContent();
-    lastAtMs = nowMs();
-    if (eventCount === 0) {
-      firstAtMs = lastAtMs;
+    this.lastAtMs = options.nowMs();
+    if (this.eventCount === 0) {
+      this.firstAtMs = this.lastAtMs;
       options.onFirstEvent();
     }
-    if (lastAtMs - firstAtMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
-    eventCount += count;
-  };
-  try {
-    for await (const chunk of exchange.res as AsyncIterable<Buffer>) {
-      const newEvents = splitter
-        .push(chunk)
-        .filter(event => isAfter(event, progress.lastEventId));
-      if (newEvents.length === 0) {
-        if (splitter.isSpoilt) return createResult('broken');
-        continue;
-      }
-      const contentCount = newEvents.filter(event => event.hasContent).length;
-      const isFirst = eventCount === 0 && contentCount > 0;
-      recordEvents(contentCount);
-      if (isFirst) await options.beforeFirstEvent();
-      if (!progress.hasSentHead) {
-        options.writeHead();
-        progress.hasSentHead = true;
-      }
-      for (const {id} of newEvents)
-        progress.lastEventId = id ?? progress.lastEventId;
-      const bytes = Buffer.concat(newEvents.map(event => event.bytes));
-      if (!(await writeWithBackpressure(res, bytes))) {
-        return createResult('caller_gone');
-      }
-      if (contentCount > 0) options.onWritten();
-      if (splitter.isSpoilt) return createResult('broken');
-    }
-    if (!exchange.res.complete || exchange.hasFailed()) {
-      return createResult('broken');
+    const sinceFirstMs = this.lastAtMs - this.firstAtMs;
+    if (sinceFirstMs >= RESPONSE_SURVIVAL_MS) options.onSurvival();
+    this.eventCount += count;
+  }
+
+  private write(
+    events: readonly StreamEvent[],
+    contentCount: number,
+  ): true | Promise<void> {
+    const {res, progress} = this.options;
+    this.sendHead();
+    for (const {id} of events)
+      progress.lastEventId = id ?? progress.lastEventId;
+    const [first] = events;
+    const bytes =
+      events.length === 1 && first
+        ? first.bytes
+        : Buffer.concat(events.map(event => event.bytes));
+    if (!res.destroyed && res.write(bytes)) {
+      this.handleWritten(contentCount);
+      return true;
     }
+    return whenDrained(res).then(isOpen => {
+      if (isOpen) this.handleWritten(contentCount);
+      else this.finish('caller_gone');
+    });
+  }
+
+  private handleWritten(contentCount: number): void {
+    if (contentCount > 0) this.options.onWritten();
+    if (this.splitter.isSpoilt) this.finish('broken');
+  }
+
+  private sendHead(): void {
+    const {progress, writeHead} = this.options;
+    if (!progress.hasSentHead) writeHead();
+    progress.hasSentHead = true;
+  }
+
+  private judgeEnd(): RelayEnd {
+    const {res, hasFailed, isDelimitedByClose} = this.exchange;
+    if (!res.complete || hasFailed()) return 'broken';
     // A stream may end without the blank line that completes its last event;
     // that event has not been forwarded.
-    if (splitter.pendingBytes > 0) return createResult('broken');
+    if (this.splitter.pendingBytes > 0) return 'broken';
     // An upstream that crashes before its first event ends its connection too.
-    if (eventCount === 0 && exchange.isDelimitedByClose) {
-      return createResult('broken');
-    }
-    if (!progress.hasSentHead) options.writeHead();
-    progress.hasSentHead = true;
-    return createResult('complete');
-  } catch {
-    // The connection broke or was aborted; the caller of this function decides
-    // whether to retry.
-    return createResult('broken');
+    if (this.eventCount === 0 && isDelimitedByClose) return 'broken';
+    return 'complete';
+  }
+
+  private finish(end: RelayEnd): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    if (end === 'complete') this.sendHead();
+    const {eventCount, firstAtMs, lastAtMs} = this;
+    const eventGapMs =
+      eventCount < 2 ? null : (lastAtMs - firstAtMs) / (eventCount - 1);
+    this.resolve({end, eventCount, eventGapMs});
   }
 }
 
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -294,7 +294,7 @@
         this.reportStart(this.reportedLoad);
       },
       onSurvival: () => this.recordSurvival(),
-      onContent: () => this.silenceWatch?.stop(),
+      onContent: () => this.silenceWatch?.pause(),
       onWritten: expectEvent,
     });
     if (result.end === 'broken') await versionTracker.whenConfirmed();
--- a/packages/transport/src/http_server.ts
+++ b/packages/transport/src/http_server.ts
@@ -50,7 +50,15 @@
   data: string | Buffer,
 ): Promise<boolean> {
   if (res.destroyed) return false;
-  if (res.write(data)) return true;
+  return res.write(data) || whenDrained(res);
+}
+
+/**
+ * Waits until a slow reader has drained the buffer; resolves with whether the
+ * connection is open.
+ */
+export async function whenDrained(res: ServerResponse): Promise<boolean> {
+  if (res.destroyed) return false;
   const waitController = new AbortController();
   await Promise.race([
     once(res, 'drain', {signal: waitController.signal}).catch(() => undefined),
