Share streams again while nobody can bring the record up to date

Cause, found by reading: gateways that all started after a configuration that the record does not cover can't write it for two minutes. Streams that began then were held to be told by the record, but refused when nobody knew them.

Change: a configuration in force has to be recorded within 2.5 s; after that streams are shared and stored.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -275,7 +275,7 @@
       if (quota) this.context.quotaLedger.openBucket(name, quota, now);
     }
     this.originHistory.routes.record(cfg, now);
-    this.context.streamOrigins.handleHistoryChanged();
+    this.context.streamOrigins.handleConfigChanged();
     this.startupGate.check();
     this.idleConnections.setLimit(cfg.limits.idleTimeoutMs);
     this.callerHttpServer.headersTimeout = cfg.limits.headTimeoutMs;
@@ -373,7 +373,7 @@
     this.monitor.close();
     this.usageExchange.close();
     this.context.crashGuard.close();
-    this.context.streamArchive.close();
+    this.context.streamOrigins.close();
     this.context.dispatchClient.close();
     this.dispatcher.close();
     this.network.close();
--- a/packages/gateway/src/origin_history.ts
+++ b/packages/gateway/src/origin_history.ts
@@ -39,6 +39,7 @@
   implies({service, softwareVersion}: ResumePlace, route: Route): boolean {
     const nowMs = this.nowMs();
     return (
+      this.routes.willBeRecorded(nowMs) &&
       this.routes.soleServiceOf(route, nowMs) === service &&
       this.versions.implies({service, softwareVersion}, nowMs) &&
       this.doAllGoByRecord()
--- a/packages/gateway/src/route_history.test.ts
+++ b/packages/gateway/src/route_history.test.ts
@@ -1,6 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {findMovedRoutes, RouteHistory} from './route_history.js';
-import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
+import {
+  ORIGIN_RECORD_GRACE_MS,
+  STREAM_ORIGIN_TTL_MS,
+} from './stream_constants.js';
 import type {GatewayConfig, Route} from './types.js';
 
 function route(pathPrefix: string, ...services: string[]): Route {
@@ -71,6 +74,8 @@
     expect(history.isRecorded).toBe(true);
     history.record(configOf(3, route('/a/', 'app')), 1);
     expect(history.isRecorded).toBe(false);
+    expect(history.willBeRecorded(1)).toBe(true);
+    expect(history.willBeRecorded(2 + ORIGIN_RECORD_GRACE_MS)).toBe(false);
     expect(history.hasSeenSince(1)).toBe(true);
     expect(history.hasSeenSince(0)).toBe(false);
   });
--- a/packages/gateway/src/route_history.ts
+++ b/packages/gateway/src/route_history.ts
@@ -1,5 +1,8 @@
 import {RouteTable} from './route_table.js';
-import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
+import {
+  ORIGIN_RECORD_GRACE_MS,
+  STREAM_ORIGIN_TTL_MS,
+} from './stream_constants.js';
 import type {GatewayConfig, Route} from './types.js';
 
 /** Services by route, the latter as `routeKey` names it. */
@@ -50,6 +53,7 @@
  */
 export class RouteHistory {
   private active: GatewayConfig | null = null;
+  private activeSinceMs = -Infinity;
   private firstVersion = Infinity;
   private readonly moved = new Map<
     string,
@@ -66,6 +70,7 @@
     }
     this.firstVersion = Math.min(this.firstVersion, cfg.version);
     this.active = cfg;
+    this.activeSinceMs = nowMs;
   }
 
   /** Applies what all members recorded up to a version of the configuration. */
@@ -99,6 +104,12 @@
     return this.recordedVersion >= this.activeVersion;
   }
 
+  /** Whether it does, or may be expected to soon. */
+  willBeRecorded(nowMs: number): boolean {
+    const activeMs = nowMs - this.activeSinceMs;
+    return this.isRecorded || activeMs < ORIGIN_RECORD_GRACE_MS;
+  }
+
   /** Version of the configuration in force; -1 for none. */
   get activeVersion(): number {
     return this.active?.version ?? -1;
--- a/packages/gateway/src/stream_constants.ts
+++ b/packages/gateway/src/stream_constants.ts
@@ -37,6 +37,12 @@
  */
 export const SNAPSHOT_REFRESH_MS = STREAM_ORIGIN_TTL_MS / 3;
 
+/**
+ * Time in milliseconds for which a configuration may be in force before the record
+ * of origins covers it: until then it is expected to.
+ */
+export const ORIGIN_RECORD_GRACE_MS = 2_500;
+
 /**
  * Time in milliseconds that a resumed stream waits for a confirmation that no
  * upstream of another version has joined.
--- a/packages/gateway/src/stream_origin_directory.ts
+++ b/packages/gateway/src/stream_origin_directory.ts
@@ -9,6 +9,7 @@
   ORIGIN_KEY_COUNT,
   ORIGIN_LOOKUP_TIMEOUT_MS,
   ORIGIN_MEMBERS_ASKED,
+  ORIGIN_RECORD_GRACE_MS,
   ORIGIN_SHARE_TIMEOUT_MS,
   STREAM_ORIGIN_TTL_MS,
 } from './stream_constants.js';
@@ -30,6 +31,8 @@
     ttl: STREAM_ORIGIN_TTL_MS,
   });
 
+  private graceTimer: NodeJS.Timeout | undefined;
+
   constructor(
     private readonly log: Logger,
     private readonly members: MemberDirectory,
@@ -75,6 +78,22 @@
     }
   }
 
+  /** The same for a new configuration, and once it should be recorded. */
+  handleConfigChanged(): void {
+    this.handleHistoryChanged();
+    clearTimeout(this.graceTimer);
+    this.graceTimer = setTimeout(
+      () => this.handleHistoryChanged(),
+      ORIGIN_RECORD_GRACE_MS,
+    );
+  }
+
+  /** Stops looking at open streams, and the archive. */
+  close(): void {
+    this.archive.close();
+    clearTimeout(this.graceTimer);
+  }
+
   private async shareWithHolders(
     requestId: string,
     origin: StreamOrigin,
