Leave to the relay what is over in the record of origins

Cause, found by reading: each gateway counted a recorded version as seen when it first read it, so that gateways which started later wanted it for longer than the relay, and would have written it back after the relay removed it, in turns, for two minutes.

Change: RecordedLists keeps what was recorded apart from what a gateway has seen itself; only the relay removes, others add what they have seen. A stream that nobody knows waits up to 1.5 s for the first record.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from './settings.js';
 export * from './stream_constants.js';
 export * from './origin_history.js';
+export * from './recorded_lists.js';
 export * from './route_history.js';
 export * from './stream_origin.js';
 export * from './stream_relay.js';
--- a/packages/gateway/src/resume_place.ts
+++ b/packages/gateway/src/resume_place.ts
@@ -2,7 +2,10 @@
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {OpenRequest} from './open_request.js';
-import {VERSION_CONFIRMATION_TIMEOUT_MS} from './stream_constants.js';
+import {
+  ORIGIN_RECORD_TIMEOUT_MS,
+  VERSION_CONFIRMATION_TIMEOUT_MS,
+} from './stream_constants.js';
 import type {OriginLookup} from './stream_origin.js';
 import type {ResumePlace} from './origin_history.js';
 import {placeToResume} from './stream_resumption.js';
@@ -21,7 +24,7 @@
   const lookup = await findOrigin(gateway, resumedRequestId);
   // The record may be about to be read, or written for a new configuration.
   if (!lookup.origin && !originHistory.isComplete) {
-    await originHistory.versions.whenRecalled(VERSION_CONFIRMATION_TIMEOUT_MS);
+    await originHistory.versions.whenRecalled(ORIGIN_RECORD_TIMEOUT_MS);
   }
   const place = placeToResume(
     admission.route,
--- a/packages/gateway/src/stream_constants.ts
+++ b/packages/gateway/src/stream_constants.ts
@@ -55,6 +55,13 @@
  */
 export const NEW_STREAM_CONFIRMATION_TIMEOUT_MS = 60;
 
+/**
+ * Time in milliseconds that a stream which nobody knows waits for the record of
+ * origins to be read, or written for the first time; below the 2 s that callers
+ * wait at the least.
+ */
+export const ORIGIN_RECORD_TIMEOUT_MS = 1_500;
+
 /** Number of other members that get a copy of a stream's origin. */
 export const ORIGIN_COPIES = 2;
 
--- a/packages/gateway/src/stream_origin.ts
+++ b/packages/gateway/src/stream_origin.ts
@@ -1,3 +1,4 @@
+import {mergeLists, RecordedLists} from './recorded_lists.js';
 import type {ServicesByRoute} from './route_history.js';
 import {STREAM_ORIGIN_TTL_MS} from './stream_constants.js';
 
@@ -72,7 +73,7 @@
   private sinceMs: number | null = null;
   /** The record in force; null while it has to be read again. */
   private current: OriginRecord | null = null;
-  private recalled: OriginRecord | null = null;
+  private readonly recorded = new RecordedLists<string | null>();
   private wasEverComplete = false;
   private readonly recallListeners = new Set<() => void>();
 
@@ -96,22 +97,12 @@
     this.noteCompleteness(nowMs);
   }
 
-  /**
-   * Applies the members' record. Versions that only it has count as seen when it
-   * was first read.
-   */
+  /** Applies the members' record. */
   recall(record: OriginRecord, nowMs: number): void {
     this.current = record;
     this.noteCompleteness(nowMs);
+    this.recorded.recall(record.versions, nowMs);
     for (const listener of [...this.recallListeners]) listener();
-    if (record === this.recalled) return;
-    this.recalled = record;
-    for (const [service, versions] of record.versions) {
-      const seen = this.seenOf(service);
-      for (const version of versions) {
-        if (!seen.has(version)) seen.set(version, nowMs);
-      }
-    }
   }
 
   /**
@@ -123,8 +114,13 @@
     this.current = null;
   }
 
-  /** The versions that were seen within STREAM_ORIGIN_TTL_MS, by service. */
+  /** Versions that were seen or recorded within STREAM_ORIGIN_TTL_MS. */
   recentVersions(nowMs: number): VersionsByService {
+    return mergeLists(this.seenVersions(nowMs), this.recorded.recent(nowMs));
+  }
+
+  /** Versions that this member itself has seen in that time. */
+  seenVersions(nowMs: number): VersionsByService {
     const recent = new Map<string, readonly (string | null)[]>();
     for (const service of this.lastSeenMs.keys()) {
       const versions = this.recentOf(service, nowMs);
--- a/packages/gateway/src/version_history.test.ts
+++ b/packages/gateway/src/version_history.test.ts
@@ -80,6 +80,14 @@
   });
 
   describe('recentVersions', () => {
+    it('drops at once what the record has no more and was not seen here', () => {
+      see(0, 'v2');
+      history.recall(recordOf('v1', 'v2'), 10);
+      expect(history.seenVersions(10).get(SERVICE)).toEqual(['v2']);
+      history.recall(recordOf('v2'), 20);
+      expect(history.recentVersions(20).get(SERVICE)).toEqual(['v2']);
+    });
+
     it('keeps a recorded version for as long as streams last, read once', () => {
       const record = recordOf('v1', 'v2');
       see(0, 'v2');
