Bound what a member of a large fleet uses of a quota by what is left

Change: a member may use 3/N of what is left, its part of the refill, and its part of the tolerance that is kept for what is not exchanged. Fleets up to four members are as before.

The test of refunds takes its figure from the constant, and now also checks that one unit more is refused.

--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -154,8 +154,14 @@
  */
 export const MAX_RESERVED_PRIORITIES = 2;
 
-/** Maximum number of bursts that a cluster may use between two exchanges. */
-export const MAX_UNCONFIRMED_BURSTS = 4;
+/** Largest cluster in which members may use all that a quota has left at once. */
+export const MAX_UNLIMITED_MEMBERS = 4;
+
+/**
+ * Times that what a quota has left, and its refill, may be used by all members of a
+ * larger cluster between two exchanges, as their callers differ in number.
+ */
+export const UNCONFIRMED_SHARES = 3;
 
 /** Longest time in milliseconds for which an upstream may ask for a pause. */
 export const MAX_PAUSE_MS = 600_000;
--- a/packages/scheduling/src/token_quota.test.ts
+++ b/packages/scheduling/src/token_quota.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {UNCONFIRMED_SHARES} from './constants.js';
 import {QuotaLedger, UsageHub} from './token_quota.js';
 
 const LIMIT = {perSecond: 1_000, burst: 1_000};
@@ -154,13 +155,18 @@
 
   it('does not count refunded units against the limit between exchanges', () => {
     const ledger = new QuotaLedger();
+    const members = 40;
     ledger.openBucket('a', LIMIT, 0);
-    ledger.setMemberCount(40);
-    expect(ledger.charge('a', LIMIT, 10, 0)).toBe(0);
+    ledger.setMemberCount(members);
+    const atOnce = (UNCONFIRMED_SHARES / members) * LIMIT.burst;
+    const first = 10;
+    expect(ledger.charge('a', LIMIT, first, 0)).toBe(0);
     for (let i = 0; i < 9; i++) {
-      expect(ledger.charge('a', LIMIT, 90, 0)).toBe(0);
-      ledger.refund('a', 90);
+      expect(ledger.charge('a', LIMIT, atOnce - first, 0)).toBe(0);
+      ledger.refund('a', atOnce - first);
     }
+    ledger.charge('a', LIMIT, atOnce - first, 0);
+    expect(ledger.charge('a', LIMIT, 1, 0)).toBeGreaterThan(0);
   });
 
   it('admits a whole burst from a full bucket in a large cluster', () => {
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,9 +1,10 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
 import {
   MAX_RESERVED_PRIORITIES,
-  MAX_UNCONFIRMED_BURSTS,
+  MAX_UNLIMITED_MEMBERS,
   QUOTA_RESERVE_PER_PRIORITY,
   QUOTA_TOLERANCE_SHARE,
+  UNCONFIRMED_SHARES,
 } from './constants.js';
 
 /** Quota of one account, in units such as tokens. */
@@ -31,7 +32,7 @@
 interface Bucket {
   /** Units that are left; negative after use by other members. */
   level: number;
-  /** Units used since the last exchange, less the refill since then. */
+  /** Units used since the last exchange, less this member's part of the refill. */
   unconfirmed: number;
   filledAtMs: number;
   limit: QuotaLimit;
@@ -106,7 +107,7 @@
     if (bucket.level < needed) {
       return Math.max(1, Math.ceil((needed - bucket.level) / perMs));
     }
-    const excess = bucket.unconfirmed + units - this.unconfirmedLimit(limit);
+    const excess = bucket.unconfirmed + units - this.unconfirmedLimit(bucket);
     const missing = this.capacityOf(limit) - bucket.level;
     if (excess > 0 && missing > 0) {
       return Math.max(1, Math.ceil(Math.min(excess, missing) / perMs));
@@ -184,17 +185,28 @@
     existing.filledAtMs = nowMs;
     existing.limit = limit;
     existing.level = Math.min(this.capacityOf(limit), existing.level + filled);
-    existing.unconfirmed = Math.max(0, existing.unconfirmed - filled);
+    const ownFilled = filled * this.unconfirmedShare;
+    existing.unconfirmed = Math.max(0, existing.unconfirmed - ownFilled);
     return existing;
   }
 
+  /** Part of what is left, and of the refill, that one member may use alone. */
+  private get unconfirmedShare(): number {
+    if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return 1;
+    return Math.min(1, UNCONFIRMED_SHARES / this.memberCount);
+  }
+
   /**
-   * Units that one member may use before an exchange with the others. Without it,
-   * all members of a large cluster could use the same burst at the same time.
+   * Units that one member may use before an exchange with the others: its part of
+   * what was left then, and of the tolerance for what is not exchanged yet. Without
+   * it, all members of a large cluster could use the same units at the same time;
+   * by the burst alone, an account could not use its quota in large requests.
    */
-  private unconfirmedLimit({burst}: QuotaLimit): number {
-    if (this.memberCount <= MAX_UNCONFIRMED_BURSTS) return Infinity;
-    return (MAX_UNCONFIRMED_BURSTS / this.memberCount) * burst;
+  private unconfirmedLimit({level, unconfirmed, limit}: Bucket): number {
+    if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return Infinity;
+    const left = Math.max(0, level + unconfirmed);
+    const tolerated = (1 - QUOTA_TOLERANCE_SHARE) * this.maxExcessOf(limit);
+    return this.unconfirmedShare * left + tolerated / this.memberCount;
   }
 
   /**
@@ -202,12 +214,16 @@
    * tolerance covers use that has not been exchanged yet.
    */
   private capacityOf(limit: QuotaLimit): number {
-    const {windowMs, ratio, extra} = this.tolerance;
-    const perWindow = (limit.perSecond * windowMs) / MS_PER_SECOND;
-    const maxExcess = ratio * (perWindow + limit.burst) + extra;
-    const tolerated = QUOTA_TOLERANCE_SHARE * maxExcess;
+    const tolerated = QUOTA_TOLERANCE_SHARE * this.maxExcessOf(limit);
     return (Math.max(limit.burst, 1) + tolerated) * this.share;
   }
+
+  /** Units by which all members together may exceed a quota in a window. */
+  private maxExcessOf({perSecond, burst}: QuotaLimit): number {
+    const {windowMs, ratio, extra} = this.tolerance;
+    const perWindow = (perSecond * windowMs) / MS_PER_SECOND;
+    return ratio * (perWindow + burst) + extra;
+  }
 }
 
 /** Usage of one member as the hub tracks it, by account. */
