Review: a first configuration written during the load is missed

Cause: a gateway that finds no configuration watches from the revision of the listings it reads afterwards; a configuration written between brings no event.

--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -66,10 +66,16 @@
     this.lines.push(`${ms} ms ${what} ${JSON.stringify(fields)}`);
   }
 
+  /** Starts the store; the operator writes a configuration unless it is null. */
   async start(config) {
     this.storeAddress = await this.store.listen(this.ip(1));
-    this.store.put('op/config', config);
-    this.note('configuration acknowledged', {version: config.version});
+    if (config) this.configure(config);
+  }
+
+  configure(config) {
+    const revision = this.store.put('op/config', config);
+    const {version} = config;
+    this.note('configuration acknowledged', {version, revision});
   }
 
   spawn(args, env = {}) {
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -121,9 +121,12 @@
 /** Share of the requests that are rejected, until when, and how. */
 let fault = {share: 0, untilMs: 0, isEndless: false};
 let openBodies = 0;
+/** Bytes that the next request gets in place of its answer; null for none. */
+let nextAnswer = null;
 process.stdin.on('data', line => {
-  const {share, forMs, isEndless} = JSON.parse(line);
+  const {share = 0, forMs = 0, isEndless, answer = null} = JSON.parse(line);
   fault = {share, untilMs: performance.now() + forMs, isEndless};
+  nextAnswer = answer;
 });
 
 const server = net.createServer({allowHalfOpen: false}, socket => {
@@ -143,6 +146,13 @@
       reject(req, socket, fault.isEndless);
       return;
     }
+    if (nextAnswer !== null) {
+      const bytes = nextAnswer;
+      nextAnswer = null;
+      say('answered wrongly', {id: requestId, bytes});
+      socket.write(bytes);
+      return;
+    }
     say('began', {id: requestId, method: req.method, path: req.path});
     if (!/^\/(un)?safe\//.test(req.path)) {
       const made = await stream(req, socket, isLeft);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -11,6 +11,8 @@
     this.lastLease = 0;
     this.waiting = new Set();
     this.isDown = false;
+    this.answerMs = 4;
+    this.onCall = () => undefined;
     this.server = http.createServer((req, res) => void this.serve(req, res));
     this.timer = setInterval(() => this.expire(), 100);
   }
@@ -85,13 +87,13 @@
       return;
     }
     const url = new URL(req.url, 'http://store');
+    this.onCall(url);
     const text = Buffer.concat(chunks).toString();
     const [status, body] = await this.handle(
       url,
       text === '' ? {} : JSON.parse(text),
     );
-    // The store takes 4 ms an answer.
-    await new Promise(resolve => setTimeout(resolve, 4));
+    await new Promise(resolve => setTimeout(resolve, this.answerMs));
     const json = JSON.stringify(body);
     res.writeHead(status, {
       'content-type': 'application/json',
