--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -235,7 +235,7 @@
     const host = this.ip(100);
     const engine = {id, address: '', events: [], host};
     const born = Date.now();
-    const args = [join(LIB, options.program ?? 'engine.mjs')];
+    const args = [join(LIB, 'engine.mjs')];
     const child = this.spawn(args, {
       ENGINE: JSON.stringify({id, host, born, ...options}),
     });
