--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,5 @@
 #!/usr/bin/env bash
+# Runs the case and writes what was sent, answered and run to record.txt.
 cd "$(dirname "$0")"
-exec node run.mjs
+rm -f record.txt
+RECORD="$PWD/record.txt" exec node run.mjs
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,55 +1,65 @@
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {config, HAS_TROUBLE, runCase, sleep} from '../lib/bed.mjs';
+import {config, HAS_TROUBLE, route, runCase, sleep} from '../lib/bed.mjs';
 
-const ANSWER_MS = 4;
-const SLOWER = 60;
-const SLOW_MS = 4_500;
-const WRITE_AFTER_MS = 120;
-const HEADERS = {'x-credential': 'key-1', 'x-deadline-ms': '2500'};
+const TIMEOUT_MS = 2_000;
+const FAULTY = 2;
+const FAULT = {share: 0.45, forMs: 6_500, piece: 'x'};
+const READ = {'x-credential': 'key-1', 'x-deadline-ms': '6000'};
+const DRAFT = {
+  'x-credential': 'key-1',
+  'x-model': 'm',
+  'x-token-count': '3720,120',
+  'x-deadline-ms': '12000',
+};
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async bed => {
-  await bed.start(null);
-  // The operator writes the first configuration shortly after the start.
-  const firstCall = new Promise(resolve => {
-    bed.store.onCall = url => {
-      bed.note('store got', {path: `${url.pathname}${url.search}`});
-      resolve();
-    };
+  const read = route('safe', {timeout_ms: TIMEOUT_MS, priority: 2});
+  const draft = route('draft', {
+    kind: 'streaming',
+    resumable: true,
+    gap_aim_ms: 400,
+    service: 'llm',
+    priority: 0,
   });
-  if (HAS_TROUBLE) {
-    bed.store.answerMs = ANSWER_MS * SLOWER;
-    bed.note('store is slow', {answerMs: bed.store.answerMs});
-    setTimeout(() => {
-      bed.store.answerMs = ANSWER_MS;
-      bed.note('store is as usual', {answerMs: ANSWER_MS});
-    }, SLOW_MS);
+  const services = [{name: 'app'}, {name: 'llm'}];
+  await bed.start(config(1, {routes: [read, draft], services}));
+  await bed.addEngine('i-1', {workMs: 40}, {slots: 6});
+  const models = [];
+  for (let i = 2; i <= 5; i++) {
+    models.push(await bed.addEngine(`i-${i}`, {gapMs: 20}, {service: 'llm'}));
   }
-  await bed.addEngine('i-1', {workMs: 40});
-  const gateways = [
-    await bed.addGateway('front-1', 'trencin'),
-    await bed.addGateway('front-2', 'puchov'),
-  ];
-  await firstCall;
-  await sleep(WRITE_AFTER_MS);
-  bed.configure(config(1));
+  const gateway = await bed.addGateway('front-1', 'trencin');
+  if (!(await bed.whenReady(gateway))) throw new Error('not ready');
+  await bed.whenJoined();
 
-  // The traffic starts 12 s after the machines do.
-  await sleep(12_000);
-  bed.store.onCall = () => undefined;
+  if (HAS_TROUBLE) {
+    bed.note('fault begins', {FAULTY, ...FAULT});
+    for (const {child} of models.slice(0, FAULTY)) {
+      child.stdin.write(`${JSON.stringify(FAULT)}\n`);
+    }
+  }
   const requests = [];
-  for (let i = 0; i < 40; i++) {
-    for (const gateway of gateways) {
-      const path = `/safe/${i}`;
-      const call = {method: 'GET', path, headers: HEADERS};
-      requests.push(bed.request(gateway, call));
+  for (let i = 0; i < 120; i++) {
+    const sentAtMs = performance.now();
+    const request = {tookMs: Infinity};
+    const call = {method: 'GET', path: `/safe/${i}`, headers: READ};
+    void bed
+      .request(gateway, call)
+      .then(() => (request.tookMs = performance.now() - sentAtMs));
+    requests.push(request);
+    if (i < 65) {
+      void bed.request(gateway, {path: `/draft/${i}`, headers: DRAFT});
     }
-    await sleep(500);
+    await sleep(100);
   }
-  const statuses = (await Promise.all(requests)).map(({status}) => status);
-  const ready = [];
-  for (const gateway of gateways) ready.push(await bed.readiness(gateway));
-  const served = statuses.filter(status => status === 200).length;
-  const why = `${served} of ${statuses.length} requests served; ready: ${ready}`;
-  return {code: served === 0 ? 1 : 0, why};
+  await sleep(TIMEOUT_MS + 500);
+
+  const slow = requests.filter(({tookMs}) => tookMs > TIMEOUT_MS);
+  const late = slow.filter(({tookMs}) => tookMs > TIMEOUT_MS + 500);
+  const isBroken = late.length >= 8 && late.length > slow.length / 4;
+  const why =
+    `${late.length} of ${slow.length} requests that lasted longer than timeout_ms ` +
+    `had no answer 0.5 s later, of ${requests.length} sent`;
+  return {code: isBroken ? 1 : 0, why};
 });
--- a/review/lib/bed.mjs
+++ b/review/lib/bed.mjs
@@ -327,7 +327,8 @@
     this.store.close();
     rmSync(this.temp, {recursive: true, force: true});
     const text = `${this.lines.join('\n')}\n`;
-    writeFileSync(join(this.folder, 'record.txt'), text);
+    const {RECORD = join(this.folder, 'record.txt')} = process.env;
+    writeFileSync(RECORD, text);
     process.stdout.write(`${code}: ${why}\n`);
     process.exit(code);
   }
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -119,16 +119,36 @@
 }
 
 /** Share of the requests that are rejected, until when, and how. */
-let fault = {share: 0, untilMs: 0, isEndless: false};
+let fault = {share: 0, untilMs: 0, isEndless: false, piece: undefined};
 let openBodies = 0;
 /** Bytes that the next request gets in place of its answer; null for none. */
 let nextAnswer = null;
 process.stdin.on('data', line => {
-  const {share = 0, forMs = 0, isEndless, answer = null} = JSON.parse(line);
-  fault = {share, untilMs: performance.now() + forMs, isEndless};
+  const {
+    share = 0,
+    forMs = 0,
+    isEndless,
+    piece,
+    answer = null,
+  } = JSON.parse(line);
+  fault = {share, untilMs: performance.now() + forMs, isEndless, piece};
   nextAnswer = answer;
 });
 
+/** Answers a stream with pieces that end no event, until the caller closes. */
+function answerEndlessly(req, socket) {
+  const {piece} = fault;
+  const chunk = `${piece.length.toString(16)}\r\n${piece}\r\n`;
+  const bytes = Buffer.from(chunk.repeat(Math.ceil(65_536 / chunk.length)));
+  const type = 'Content-Type: text/event-stream';
+  socket.write(head(req, '200 OK', [type, 'Transfer-Encoding: chunked']));
+  const write = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on('drain', write);
+  write();
+}
+
 const server = net.createServer({allowHalfOpen: false}, socket => {
   let isClosed = false;
   socket.on('error', () => undefined);
@@ -142,6 +162,11 @@
       return;
     }
     if (performance.now() < fault.untilMs && Math.random() < fault.share) {
+      if (fault.piece !== undefined) {
+        say('answers without an end', {id: requestId});
+        answerEndlessly(req, socket);
+        return;
+      }
       say('rejected', {id: requestId, openBodies});
       reject(req, socket, fault.isEndless);
       return;
