A lost neighbour no longer ends a response without a length

Cause: the tunnel was bytes and then the end of a connection. The kernel closes the connections of a killed process in good order, and a response without length or chunks is delimited by just that end. An idle tunnel and TunnelServer.close ended it in the same way. Ruled out: the judgement of the stream's end and the buffer of whole responses, which see the same end.

Change: a tunnel is a POST with a chunked body in both directions, so that Node.js reports a lost neighbour as an error; TunnelConnection ends only where the engine's end was seen. Members announce it in their entry; with members of earlier releases CONNECT is kept, and any end of it counts as a failure.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {GatewayPeers} from './gateway_peers.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
+import {createLocalMember} from './local_member.js';
 import {MemberDirectory} from './member_directory.js';
 import {OriginHistory} from './origin_history.js';
 import {NeighbourNotices} from './neighbour_notices.js';
@@ -102,14 +103,7 @@
     const peer = splitAddress(settings.peerAddress);
     this.configState = new ConfigState(bootClock, log);
     this.network = new PeerNetwork(peer);
-    this.members = new MemberDirectory({
-      id: settings.memberId,
-      zone: settings.zone,
-      address: settings.peerAddress,
-      isLeaving: false,
-      tunnelAddress: settings.tunnelAddress ?? null,
-      goesByOriginRecord: true,
-    });
+    this.members = new MemberDirectory(createLocalMember(settings));
     const {members, network} = this;
     this.originHistory = new OriginHistory(
       this.upstreams.versions,
--- a/packages/gateway/src/neighbour_tunnels.ts
+++ b/packages/gateway/src/neighbour_tunnels.ts
@@ -79,8 +79,8 @@
     neighbour: GatewayMember,
     address: string,
   ): Promise<NeighbourAnswer> {
-    const {id, tunnelAddress} = neighbour;
-    const peer = splitAddress(tunnelAddress ?? '');
+    const {id, tunnelAddress, hasChunkedTunnels = false} = neighbour;
+    const peer = {...splitAddress(tunnelAddress ?? ''), hasChunkedTunnels};
     const result = await openTunnel(peer, address, TUNNEL_TIMEOUT_MS);
     if (result.kind === 'unavailable') {
       this.avoided.set(id, true);
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -166,6 +166,11 @@
    * earlier releases don't.
    */
   readonly goesByOriginRecord?: boolean;
+  /**
+   * Whether its tunnels are chunked, which tells the end of an upstream from its
+   * own; those of earlier releases are not.
+   */
+  readonly hasChunkedTunnels?: boolean;
 }
 
 /** A value that a member has stored, with its name for the log. */
--- a/packages/gateway/src/upstream_paths.ts
+++ b/packages/gateway/src/upstream_paths.ts
@@ -9,6 +9,7 @@
 } from '@fescuespool/transport';
 import type {Agent} from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {splitAddress} from './address.js';
 import {
   MAX_IDLE_CONNECTIONS_PER_UPSTREAM,
@@ -44,10 +45,10 @@
 
 /** A connection to an upstream. */
 type OpenConnection =
-  | {readonly kind: 'direct'; readonly socket: Socket}
+  | {readonly kind: 'direct'; readonly socket: Duplex}
   | {
       readonly kind: 'tunnelled';
-      readonly socket: Socket;
+      readonly socket: Duplex;
       readonly via: GatewayMember;
     };
 
@@ -74,7 +75,7 @@
   private readonly singleUseAgent: Agent;
   private readonly neighbours: NeighbourTunnels;
   /** Neighbours whose tunnels connections go through. */
-  private readonly neighboursBySocket = new WeakMap<Socket, GatewayMember>();
+  private readonly neighboursBySocket = new WeakMap<Duplex, GatewayMember>();
   private readonly probes = new OnDemandInterval(PATH_PROBE_INTERVAL_MS, () => {
     void this.probeLostPaths();
     return this.lostCount > 0;
@@ -82,7 +83,7 @@
   private wasCutOff = false;
 
   constructor(private readonly options: UpstreamPathsOptions) {
-    const open = async (args: TcpNetConnectOpts): Promise<Socket> => {
+    const open = async (args: TcpNetConnectOpts): Promise<Duplex> => {
       const connection = await this.connect(args);
       if (connection.kind === 'failed') throw connection.error;
       const {socket} = connection;
@@ -136,7 +137,7 @@
   }
 
   /** Neighbour through whose tunnel a connection goes; null if it is direct. */
-  neighbourOf(socket: Socket): GatewayMember | null {
+  neighbourOf(socket: Duplex): GatewayMember | null {
     return this.neighboursBySocket.get(socket) ?? null;
   }
 
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -2,7 +2,8 @@
 import type {Result} from 'neverthrow';
 import http from 'node:http';
 import https from 'node:https';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {CALL_ERROR_KIND, CONNECT_TIMEOUT_MS} from './constants.js';
 import {BodyTooLargeError, CallError} from './errors.js';
 import type {TlsCredentials} from './types.js';
@@ -119,10 +120,8 @@
       stopTimers();
       const endsWithConnection = isDelimitedByClose(res);
       if (endsWithConnection) {
-        // Node.js reports a reset that follows the last bytes as a normal end;
-        // only the missing remote address shows that the connection was lost.
         res.socket.prependOnceListener('end', () => {
-          hasFailed ||= res.socket.remoteAddress === undefined;
+          hasFailed ||= wasReset(res.socket);
         });
       }
       resolve(
@@ -145,6 +144,15 @@
   return new CallError(UNSENDABLE, cause.message, false, {cause});
 }
 
+/**
+ * Whether a connection that has ended was reset. Node.js reports a reset that
+ * follows the last bytes as a normal end, but drops the remote address. Tunnels
+ * have none, and fail in place of ending.
+ */
+function wasReset(connection: Duplex): boolean {
+  return connection instanceof Socket && connection.remoteAddress === undefined;
+}
+
 /**
  * Whether a response has neither a length nor a transfer encoding, so that the
  * end of its connection delimits it.
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -1,5 +1,6 @@
 import type {ValueOf} from '@fescuespool/common';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {SecureContextOptions} from 'node:tls';
 import type {CALL_ERROR_KIND, TUNNEL_STATUS} from './constants.js';
 
@@ -15,8 +16,8 @@
 /** Starts to open a TCP connection. */
 export type ConnectSocket = (options: TcpNetConnectOpts) => Socket;
 
-/** Opens a TCP connection; rejects if that fails. */
-export type OpenSocket = (options: TcpNetConnectOpts) => Promise<Socket>;
+/** Opens a connection, which may be a tunnel; rejects if that fails. */
+export type ConnectionOpener = (options: TcpNetConnectOpts) => Promise<Duplex>;
 
 /** Bytes sent to and received from peers, for the traffic statistics. */
 export interface ByteCounts {
--- a/packages/transport/src/upstream_agent.ts
+++ b/packages/transport/src/upstream_agent.ts
@@ -1,16 +1,17 @@
 import http from 'node:http';
 import type {ClientRequest, ClientRequestArgs} from 'node:http';
 import type {Socket, TcpNetConnectOpts} from 'node:net';
-import type {OpenSocket} from './types.js';
+import type {Duplex} from 'node:stream';
+import type {ConnectionOpener} from './types.js';
 
 /** Called with a connection, or with the error that prevented it. */
-type OnCreated = (error: Error | null, socket: Socket) => void;
+type OnCreated = (error: Error | null, connection: Duplex) => void;
 
 /** Agent that opens each connection with the given function. */
 class OpeningAgent extends http.Agent {
   constructor(
     options: http.AgentOptions,
-    private readonly open: OpenSocket,
+    private readonly open: ConnectionOpener,
   ) {
     super(options);
   }
@@ -23,8 +24,8 @@
     const tcpOptions = {...options, path: undefined};
     const created = this.open(tcpOptions as unknown as TcpNetConnectOpts);
     created.then(
-      socket => onCreated?.(null, socket),
-      // The socket is not used if there is an error.
+      connection => onCreated?.(null, connection),
+      // The connection is not used if there is an error.
       (error: Error) => (onCreated as (error: Error) => void)(error),
     );
   }
@@ -32,7 +33,7 @@
 
 /** Agent that opens a connection for each request. */
 export class SingleUseAgent extends OpeningAgent {
-  constructor(open: OpenSocket) {
+  constructor(open: ConnectionOpener) {
     super({}, open);
   }
 }
@@ -49,17 +50,18 @@
   constructor(
     idleMs: number,
     maxIdle: number,
-    open: OpenSocket,
-    private readonly mayKeep: (socket: Socket) => boolean = () => true,
+    open: ConnectionOpener,
+    private readonly mayKeep: (connection: Duplex) => boolean = () => true,
   ) {
     super({keepAlive: true, maxFreeSockets: maxIdle, timeout: idleMs}, open);
   }
 
   override keepSocketAlive(socket: Socket): boolean {
+    // Asked first, as Node.js expects a socket here, which a tunnel is not.
+    if (!this.mayKeep(socket) || socket.readableLength > 0) return false;
     // The type of this Node.js method omits the boolean that it returns.
     const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-    if (!isKept || !this.mayKeep(socket)) return false;
-    if (socket.readableLength > 0) return false;
+    if (!isKept) return false;
     socket.on('data', closeConnection);
     return true;
   }
