Split streams in time that is linear in their bytes

Cause: EventSplitter copied and searched all pending bytes with each chunk, so that the work grew with the square of the number of chunks, up to 256 KB, on the one thread that serves all callers. A chunk of many events was searched to its end for each event too.

The events found in random chunks equal those of the whole. Ruled out: connections between gateways and the store's watch search each byte once.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -1,3 +1,4 @@
+import {ByteAccumulator} from '@fescuespool/transport';
 import {MAX_EVENT_BYTES} from './constants.js';
 
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
@@ -5,6 +6,7 @@
 /** A comment, or a field with or without a value. */
 const FIELD_LINE = /^(?::|[A-Za-z][\w-]*(?::|\r?$))/m;
 const STATUS_LINE = /^HTTP\/1\.\d \d/m;
+const LF = 0x0a;
 const LF_TERMINATOR = Buffer.from('\n\n');
 const CRLF_TERMINATOR = Buffer.from('\r\n\r\n');
 
@@ -16,11 +18,15 @@
   readonly hasContent: boolean;
 }
 
-/** Splits a byte stream into complete server-sent events. */
+/**
+ * Splits a byte stream into complete server-sent events. Each byte is copied and
+ * searched a bounded number of times, however small the chunks are.
+ */
 export class EventSplitter {
   /** Whether bytes that are no event have come; what follows them is ignored. */
   isSpoilt = false;
-  private pending: Buffer = Buffer.alloc(0);
+  /** Beginning of an event; contains no terminator. */
+  private readonly pending = new ByteAccumulator();
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
@@ -32,34 +38,55 @@
    * RangeError if the incomplete rest exceeds MAX_EVENT_BYTES.
    */
   push(chunk: Buffer): StreamEvent[] {
-    let rest =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const {pending} = this;
+    // A terminator may begin in the pending bytes.
+    const searchFrom = Math.max(0, pending.length + 1 - CRLF_TERMINATOR.length);
+    pending.append(chunk);
+    const ends = chunk.includes(LF) ? eventEnds(pending.bytes, searchFrom) : [];
     const events: StreamEvent[] = [];
-    for (let end = endOfEvent(rest); end > 0; end = endOfEvent(rest)) {
-      const event = this.isSpoilt ? null : parseEvent(rest.subarray(0, end));
-      if (event) events.push(event);
-      else this.isSpoilt = true;
-      rest = rest.subarray(end);
+    if (ends.length > 0) {
+      const bytes = pending.takeAll();
+      let start = 0;
+      for (const end of ends) {
+        this.addEvent(bytes.subarray(start, end), events);
+        start = end;
+      }
+      pending.append(bytes.subarray(start));
+    }
+    if (pending.length > MAX_EVENT_BYTES) {
+      throw new RangeError(`event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
-    if (rest.length > MAX_EVENT_BYTES) throw new RangeError('event too long');
-    this.pending = rest;
     return events;
   }
 
   /** Removes and returns the bytes after the last complete event. */
   flush(): Buffer {
-    const rest = this.pending;
-    this.pending = Buffer.alloc(0);
-    return rest;
+    return this.pending.takeAll();
+  }
+
+  private addEvent(bytes: Buffer, events: StreamEvent[]): void {
+    const event = this.isSpoilt ? null : parseEvent(bytes);
+    if (event) events.push(event);
+    else this.isSpoilt = true;
   }
 }
 
-function endOfEvent(bytes: Buffer): number {
-  const lf = bytes.indexOf(LF_TERMINATOR);
-  const crlf = bytes.indexOf(CRLF_TERMINATOR);
-  if (lf < 0) return crlf < 0 ? 0 : crlf + CRLF_TERMINATOR.length;
-  if (crlf < 0 || lf < crlf) return lf + LF_TERMINATOR.length;
-  return crlf + CRLF_TERMINATOR.length;
+/** Ends of the events whose terminators begin at `from` or later. */
+function eventEnds(bytes: Buffer, from: number): number[] {
+  const ends: number[] = [];
+  let lf = bytes.indexOf(LF_TERMINATOR, from);
+  let crlf = bytes.indexOf(CRLF_TERMINATOR, from);
+  while (lf >= 0 || crlf >= 0) {
+    const isLf = crlf < 0 || (lf >= 0 && lf < crlf);
+    const end = isLf
+      ? lf + LF_TERMINATOR.length
+      : crlf + CRLF_TERMINATOR.length;
+    ends.push(end);
+    // Searched again only if it was passed, or each search would read the rest.
+    if (lf >= 0 && lf < end) lf = bytes.indexOf(LF_TERMINATOR, end);
+    if (crlf >= 0 && crlf < end) crlf = bytes.indexOf(CRLF_TERMINATOR, end);
+  }
+  return ends;
 }
 
 /** Parses an event; null if the bytes are none. */
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,3 +1,4 @@
+export * from './byte_accumulator.js';
 export * from './constants.js';
 export * from './errors.js';
 export * from './http_client.js';
