A gateway that stops begins only what can end in its grace

Cause: after SIGTERM only new heads were refused, after 2.6 s. Neither a body that came late, nor the wait for the configuration, the queue, a grant or a retry asked what was left of the grace; what was open at its end was destroyed. Ruled out: the owner of the queue, which answers by the patience it is told.

Change: one decision (latestStartMs, tested without a network) from what is left of the grace, the request's time limit and the run times of its route, asked wherever an upstream is asked for (StopGate). A wait ends with 503 and a Retry-After as soon as the request can't fit; a later grant is given back. What is open 100 ms before the end is answered: 503 if it has not run, else 504.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -1,5 +1,4 @@
 import {BodyTooLargeError, readBody} from '@fescuespool/transport';
-import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {admit, fingerprintOf} from './admission.js';
@@ -11,7 +10,7 @@
   MAX_REQUEST_ID_LENGTH,
   NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
-import {GatewayRefusalError} from './errors.js';
+import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
 import {RequestTimer} from './request_timer.js';
@@ -55,6 +54,7 @@
   /** Serves one request from its head to its log line; never rejects. */
   async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res);
+    this.gateway.stopGate.add(timer);
     this.openCount++;
     this.closeAfterLastResponse(req, res);
     let head: RequestHead | null = null;
@@ -69,12 +69,9 @@
         throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
       }
       if (this.isClosing) {
-        throw new GatewayRefusalError(
-          GATEWAY_REFUSAL.STOPPING,
-          MIN_RETRY_AFTER_MS,
-        );
+        throw createStoppingRefusal();
       }
-      const body = await this.readBody(req);
+      const body = await this.readBody(req, timer.signal);
       await this.gateway.whenConfigured();
       admission = this.admit(req, head);
       const fingerprint = fingerprintOf(req.url ?? '', admission.account, body);
@@ -98,6 +95,7 @@
       refusal = this.refuse(res, head, e, timer.hasCallerLeft);
     } finally {
       timer.stop();
+      this.gateway.stopGate.remove(timer);
       const hasNotRun = run?.hasNotRun ?? true;
       if (admission && isCharged && hasNotRun) this.refund(admission);
       this.logEnd(res, head, admission, run, refusal, timer);
@@ -122,15 +120,27 @@
     });
   }
 
-  private async readBody(req: IncomingMessage): Promise<Buffer> {
+  /** Reads a body; refuses the request if the signal is aborted before its end. */
+  private async readBody(
+    req: IncomingMessage,
+    signal: AbortSignal,
+  ): Promise<Buffer> {
     const limit = this.gateway.configState.current?.limits.maxBodyBytes;
+    let handleAbort: () => void = () => undefined;
+    const aborted = new Promise<never>((_resolve, reject) => {
+      handleAbort = () => reject(createStoppingRefusal());
+      signal.addEventListener('abort', handleAbort, {once: true});
+    });
     try {
-      return await readBody(req, limit ?? DEFAULT_MAX_BODY_BYTES);
+      const body = readBody(req, limit ?? DEFAULT_MAX_BODY_BYTES);
+      return await Promise.race([body, aborted]);
     } catch (e) {
       if (e instanceof BodyTooLargeError) {
         throw new GatewayRefusalError(GATEWAY_REFUSAL.BODY_TOO_LARGE);
       }
       throw e;
+    } finally {
+      signal.removeEventListener('abort', handleAbort);
     }
   }
 
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -1,4 +1,4 @@
-import {QUEUE_REFUSAL} from '@fescuespool/scheduling';
+import {MIN_RETRY_AFTER_MS, QUEUE_REFUSAL} from '@fescuespool/scheduling';
 import {GATEWAY_REFUSAL, REFUSAL_STATUS} from './constants.js';
 import type {GatewayRefusal} from './types.js';
 
@@ -32,6 +32,11 @@
   }
 }
 
+/** Refusal of a request that did not run, as the gateway stops. */
+export function createStoppingRefusal(): GatewayRefusalError {
+  return new GatewayRefusalError(GATEWAY_REFUSAL.STOPPING, MIN_RETRY_AFTER_MS);
+}
+
 /** Refusal for the reason of a queue's refusal. */
 export function toGatewayRefusal(reason: string): GatewayRefusal {
   switch (reason) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,4 @@
 import type {Clock, Logger} from '@fescuespool/common';
-import {sleep} from '@fescuespool/common';
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
 import type {ConnectSocket} from '@fescuespool/transport';
 import {PeerNetwork} from '@fescuespool/transport';
@@ -9,12 +8,7 @@
 import {CallerServer} from './caller_server.js';
 import type {BootClock} from './config_state.js';
 import {ConfigState} from './config_state.js';
-import {
-  CONFIG_AGE_MARGIN_MS,
-  DEREGISTRATION_DELAY_MS,
-  MAX_HEADER_BYTES,
-  STOP_MARGIN_MS,
-} from './constants.js';
+import {CONFIG_AGE_MARGIN_MS, MAX_HEADER_BYTES} from './constants.js';
 import {ConfirmedConnections} from './confirmed_connections.js';
 import {CrashGuard} from './crash_guard.js';
 import {DispatchClient} from './dispatch_client.js';
@@ -25,6 +19,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
+import {stopGracefully} from './graceful_stop.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {createLocalMember} from './local_member.js';
@@ -37,6 +32,8 @@
 import {settingsToRestartFor} from './settings.js';
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
+import {StopGate} from './stop_gate.js';
+import {RunTimes} from './stop_policy.js';
 import {StreamArchive} from './stream_archive.js';
 import {RouteHistory} from './route_history.js';
 import type {OriginRecord, VersionsByService} from './stream_origin.js';
@@ -160,6 +157,7 @@
       isDeclined: address => this.context.upstreamStatements.declines(address),
       isStopping: () => this.isStopping,
     });
+    const runTimes = new RunTimes();
     this.context = {
       settings,
       clock,
@@ -203,6 +201,8 @@
         onPause: instanceId => dispatchClient.reportNow(instanceId),
       }),
       whenConfigured: () => this.startupGate.whenOpen(),
+      runTimes,
+      stopGate: new StopGate(clock, log, runTimes),
       random: Math.random,
       metrics: this.metrics,
     };
@@ -338,28 +338,14 @@
   }
 
   /**
-   * Shuts down without aborting requests: fails the readiness check, hands queues
-   * over, and waits for open requests until STOP_MARGIN_MS before stopGraceMs.
+   * Shuts down gracefully: fails the readiness check and waits until all requests
+   * have their responses.
    */
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const {log, clock} = this.options;
-    const {settings} = this.context;
-    const startMs = clock.monotonicMs();
-    const endsAtMs = startMs + settings.stopGraceMs - STOP_MARGIN_MS;
-    log.info('gateway_stopping', {open: this.callerServer.openRequestCount});
-    this.callerServer.isDraining = true;
-    this.members.leave();
-    await sleep(DEREGISTRATION_DELAY_MS);
-    this.callerServer.refuseNewRequests();
-    this.callerHttpServer.close();
-    this.callerHttpServer.closeIdleConnections();
-    const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
-    const {tunnels} = this.context.upstreamPaths;
-    const idle = [this.callerServer.whenIdle(), tunnels.whenIdle()];
-    await Promise.race([Promise.all(idle), sleep(limitMs)]);
-    log.info('gateway_stopped', {cut: this.callerServer.openRequestCount});
+    const {callerServer, callerHttpServer} = this;
+    await stopGracefully(this.context, {callerServer, callerHttpServer});
   }
 
   /** Closes all servers, connections and timers immediately. */
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,6 +9,8 @@
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
 import type {OriginHistory} from './origin_history.js';
+import type {StopGate} from './stop_gate.js';
+import type {RunTimes} from './stop_policy.js';
 import type {StreamArchive} from './stream_archive.js';
 import type {StreamOriginDirectory} from './stream_origin_directory.js';
 import type {WireFormat} from './types.js';
@@ -36,6 +38,8 @@
   readonly confirmedConnections: ConfirmedConnections;
   readonly upstreams: UpstreamRegistry;
   readonly upstreamStatements: UpstreamStatements;
+  readonly runTimes: RunTimes;
+  readonly stopGate: StopGate;
   readonly random: () => number;
   /**
    * Resolves once configuration and upstreams are loaded, at the latest after
--- /dev/null
+++ b/packages/gateway/src/graceful_stop.ts
@@ -0,0 +1,39 @@
+import {sleep} from '@fescuespool/common';
+import type {Server} from 'node:http';
+import type {CallerServer} from './caller_server.js';
+import {
+  DEREGISTRATION_DELAY_MS,
+  LAST_RESPONSE_MARGIN_MS,
+  STOP_MARGIN_MS,
+} from './constants.js';
+import type {GatewayContext} from './gateway_context.js';
+
+/** What serves callers and has to end. */
+export interface StoppedServers {
+  readonly callerServer: CallerServer;
+  readonly callerHttpServer: Server;
+}
+
+/**
+ * Ends the service to callers within stopGraceMs less STOP_MARGIN_MS: hands queues
+ * over, lets begin what can still end, and waits for open requests and for the
+ * tunnels of neighbours.
+ */
+export async function stopGracefully(
+  {clock, log, members, settings, stopGate, upstreamPaths}: GatewayContext,
+  {callerServer, callerHttpServer}: StoppedServers,
+): Promise<void> {
+  const endsAtMs = clock.monotonicMs() + settings.stopGraceMs - STOP_MARGIN_MS;
+  log.info('gateway_stopping', {open: callerServer.openRequestCount});
+  stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS);
+  callerServer.isDraining = true;
+  members.leave();
+  await sleep(DEREGISTRATION_DELAY_MS);
+  callerServer.refuseNewRequests();
+  callerHttpServer.close();
+  callerHttpServer.closeIdleConnections();
+  const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
+  const idle = [callerServer.whenIdle(), upstreamPaths.tunnels.whenIdle()];
+  await Promise.race([Promise.all(idle), sleep(limitMs)]);
+  log.info('gateway_stopped', {cut: callerServer.openRequestCount});
+}
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -1,10 +1,6 @@
 import {sleep} from '@fescuespool/common';
 import type {GrantRequest, RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
-import {
-  MIN_RETRY_AFTER_MS,
-  QUEUE_REFUSAL,
-  RUN_END,
-} from '@fescuespool/scheduling';
+import {QUEUE_REFUSAL, RUN_END} from '@fescuespool/scheduling';
 import {
   GATEWAY_REFUSAL,
   MAX_EXCLUDED_UPSTREAMS,
@@ -23,10 +19,10 @@
 import {seekOtherUpstream} from './other_upstream.js';
 import {pickTarget} from './route_table.js';
 import {findResumePlace} from './resume_place.js';
+import {RunRefusals} from './run_refusal.js';
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
 import {TriedUpstreams} from './tried_upstreams.js';
-import type {GatewayRefusal} from './types.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import type {BufferedResponse} from './upstream_send.js';
 
@@ -45,6 +41,7 @@
   private pausedGrants = 0;
   private errorResponse: BufferedResponse | null = null;
   private readonly tried: TriedUpstreams;
+  private readonly refusals: RunRefusals;
   private readonly progress: StreamProgress;
   private service: string;
   private searches = 0;
@@ -60,6 +57,7 @@
     private readonly request: OpenRequest,
   ) {
     const {lastEventId} = request.head;
+    this.refusals = new RunRefusals(request.timer, () => this.hasNotRun);
     this.progress = {
       lastEventId,
       softwareVersion: null,
@@ -119,14 +117,22 @@
       // The cause of crashes may have been found while the request waited.
       if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
-        throw this.createRefusal(GATEWAY_REFUSAL.CRASH_SUSPECTED);
+        throw this.refusals.unlessRun(
+          new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED),
+        );
       }
       if (!(await this.isAtRequiredVersion(placed))) continue;
+      // Asked last, as the steps before may have taken time.
+      if (!this.gateway.stopGate.mayBegin(this.request)) {
+        this.returnGrant(placed, RUN_END.CANCELLED);
+        if (this.sendErrorResponse()) return;
+        throw this.refuseTooLate();
+      }
       const outcome = await this.attempt(placed);
       if (outcome.isDone) return;
       if (this.canRetry(outcome)) continue;
       if (this.sendErrorResponse()) return;
-      throw this.createFinalRefusal();
+      throw this.refusals.final();
     }
   }
 
@@ -150,7 +156,9 @@
     // A dispatcher of an earlier release does not heed the required version.
     if (softwareVersion !== upstream.softwareVersion) {
       this.returnGrant(placement, RUN_END.CANCELLED);
-      throw this.createRefusal(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
+      throw this.refusals.unlessRun(
+        new GatewayRefusalError(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE),
+      );
     }
     if (softwareVersion === placement.confirmedVersion) return true;
     const {requestId} = this.request.head;
@@ -214,7 +222,7 @@
     const sought = [gateway, requestId, service, request, signal] as const;
     const grant = await seekOtherUpstream(...sought);
     if (!grant) return;
-    if (signal.aborted) {
+    if (signal.aborted || !this.gateway.stopGate.mayBegin(this.request)) {
       returnGrant(gateway, requestId, grant, RUN_END.CANCELLED);
       return;
     }
@@ -258,11 +266,10 @@
   private async place(): Promise<Grant | GatewayRefusalError> {
     const {timer, head} = this.request;
     const startMs = this.gateway.clock.monotonicMs();
-    const answer = await this.gateway.dispatchClient.acquire(
-      this.service,
-      this.createGrantRequest(),
-      timer.signal,
-    );
+    const wait = this.gateway.stopGate.wait(this.request);
+    const answer = await this.gateway.dispatchClient
+      .acquire(this.service, this.createGrantRequest(), wait.signal)
+      .finally(wait.end);
     const waitMs = this.gateway.clock.monotonicMs() - startMs;
     this.queuedMs += waitMs;
     this.gateway.metrics.recordQueueWait(
@@ -270,7 +277,11 @@
       answer.kind,
       waitMs,
     );
-    if (answer.kind === 'aborted') return this.createTimeoutRefusal();
+    if (answer.kind === 'aborted') {
+      return timer.signal.aborted
+        ? this.refusals.timeout()
+        : this.refuseTooLate();
+    }
     if (answer.kind === 'refused') {
       this.gateway.log.info('grant_refused', {
         id: head.requestId,
@@ -281,17 +292,18 @@
       });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
         if (this.versionToBegin === null) {
-          return this.createRefusal(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE);
+          return this.refusals.unlessRun(
+            new GatewayRefusalError(GATEWAY_REFUSAL.STREAM_NOT_RESUMABLE),
+          );
         }
         this.mayBeginAnywhere = true;
         return this.place();
       }
-      if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
       const leftMs = Math.ceil(timer.remainingMs);
       const retryAfterMs = Math.min(answer.retryAfterMs, leftMs);
-      return new GatewayRefusalError(
-        toGatewayRefusal(answer.reason),
-        retryAfterMs,
+      const reason = toGatewayRefusal(answer.reason);
+      return this.refusals.unlessRun(
+        new GatewayRefusalError(reason, retryAfterMs),
       );
     }
     const {requestId: grantId} = head;
@@ -341,6 +353,12 @@
     this.returnGrant(grant, RUN_END.CANCELLED);
   }
 
+  /** Refuses a request that can't end before the gateway does. */
+  private refuseTooLate(): GatewayRefusalError {
+    this.gateway.stopGate.logRefusal(this.request);
+    return this.refusals.tooLate();
+  }
+
   private createGrantRequest(): GrantRequest {
     return createGrantRequest(this.gateway, this.request, this.progress, {
       isRetry: this.possibleArrivals > 0,
@@ -369,28 +387,4 @@
     );
     return true;
   }
-
-  private createFinalRefusal(): GatewayRefusalError {
-    if (this.request.timer.isOver) return this.createTimeoutRefusal();
-    if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
-    const {NOT_ACCEPTED} = GATEWAY_REFUSAL;
-    return new GatewayRefusalError(NOT_ACCEPTED, MIN_RETRY_AFTER_MS);
-  }
-
-  /** A refusal for this reason, unless the request may have run. */
-  private createRefusal(reason: GatewayRefusal): GatewayRefusalError {
-    if (this.possibleRuns > 0) return this.createUpstreamFailedRefusal();
-    return new GatewayRefusalError(reason);
-  }
-
-  private createUpstreamFailedRefusal(): GatewayRefusalError {
-    return new GatewayRefusalError(GATEWAY_REFUSAL.UPSTREAM_FAILED);
-  }
-
-  private createTimeoutRefusal(): GatewayRefusalError {
-    const {UPSTREAM_TIMEOUT, EXPIRED} = GATEWAY_REFUSAL;
-    return new GatewayRefusalError(
-      this.possibleRuns > 0 ? UPSTREAM_TIMEOUT : EXPIRED,
-    );
-  }
 }
--- a/packages/gateway/src/request_timer.ts
+++ b/packages/gateway/src/request_timer.ts
@@ -12,7 +12,9 @@
   private readonly startMs: number;
   private readonly controller = new AbortController();
   private timer: NodeJS.Timeout | null = null;
-  private limitMs = Infinity;
+  private ownLimitMs = Infinity;
+  /** Limit by the end of a gateway that stops. */
+  private stopLimitMs = Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -36,9 +38,20 @@
     return this.clock.monotonicMs() - this.startMs;
   }
 
-  /** Milliseconds until the time limit; 0 once it has passed. */
+  /** Milliseconds until the nearest limit; 0 once it has passed. */
   get remainingMs(): number {
-    return Math.max(0, this.limitMs - this.elapsedMs);
+    const limitMs = Math.min(this.ownLimitMs, this.stopLimitMs);
+    return Math.max(0, limitMs - this.elapsedMs);
+  }
+
+  /** Milliseconds until the request's own time limit, also past the other one. */
+  get ownRemainingMs(): number {
+    return Math.max(0, this.ownLimitMs - this.elapsedMs);
+  }
+
+  /** Whether the gateway stops before the request's own time limit. */
+  get endsWithGateway(): boolean {
+    return this.stopLimitMs < this.ownLimitMs;
   }
 
   /** Whether the caller has left or no time remains to respond to it. */
@@ -48,13 +61,24 @@
 
   /** Sets the time limit in milliseconds from the request head. */
   setTimeLimit(limitMs: number): void {
-    this.limitMs = limitMs;
-    const leftMs = limitMs - TIMEOUT_MARGIN_MS - this.elapsedMs;
-    this.timer = setTimeout(() => this.controller.abort(), Math.max(0, leftMs));
+    this.ownLimitMs = limitMs;
+    this.setTimer();
+  }
+
+  /** Limits the request to a time in milliseconds from now as well. */
+  limitByStop(leftMs: number): void {
+    this.stopLimitMs = this.elapsedMs + leftMs;
+    this.setTimer();
   }
 
   /** Cancels the timer of the time limit. */
   stop(): void {
     if (this.timer) clearTimeout(this.timer);
   }
+
+  private setTimer(): void {
+    this.stop();
+    const leftMs = Math.max(0, this.remainingMs - TIMEOUT_MARGIN_MS);
+    this.timer = setTimeout(() => this.controller.abort(), leftMs);
+  }
 }
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -76,17 +76,18 @@
    * dispatcher and the metrics.
    */
   async run(): Promise<SendOutcome> {
-    const {clock, dispatchClient, metrics, upstreams} = this.gateway;
+    const {clock, dispatchClient, metrics, runTimes, upstreams} = this.gateway;
     this.sentAtMs = clock.monotonicMs();
     const outcome = await this.sendAndHandle();
     this.silenceWatch?.stop();
     const {instanceId} = this.placement.upstream;
+    const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
     if (outcome.end === RUN_END.COMPLETED) {
+      runTimes.record(this.request.admission.route, runMs);
       upstreams.recordResponse(instanceId, clock.monotonicMs());
     } else if (outcome.isConnectionFailure) {
       upstreams.recordConnectionFailure(instanceId);
     }
-    const runMs = Math.round(clock.monotonicMs() - this.sentAtMs);
     const {eventGapMs} = outcome;
     const end = await endToReport(outcome, this.placement, this.gateway);
     const load = isStream(this.request.admission.route)
