Bound the memory of all responses, and what is read of rejections

Cause: limits stood on single responses only; res.resume() has none; Node.js closes a connection that switches protocols without an error if nobody listens.

Change: ResponseBudget bounds what all responses hold to a fifth of the memory limit in the settings. Beyond it the largest incomplete response is given up, logged with its upstream, counted, and held against the upstream as a broken connection is. discardResponse reads 64 KB and 1 s of a rejection at most, and openExchange fails a call whose connection switches protocols.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -234,6 +234,18 @@
 /** Largest response in bytes that is buffered until it is complete. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 16_777_216;
 
+/** Share of the memory limit that all responses may hold together. */
+export const RESPONSE_BUDGET_SHARE = 0.2;
+
+/** Memory limit in megabytes of settings that give none. */
+export const DEFAULT_MEMORY_LIMIT_MB = 512;
+
+/** Bytes of a rejection's body that are read to keep its connection. */
+export const MAX_DISCARDED_BYTES = 65_536;
+
+/** Time in milliseconds for which a rejection's body is read. */
+export const MAX_DISCARD_MS = 1_000;
+
 /** Largest event of a stream in bytes. */
 export const MAX_EVENT_BYTES = 262_144;
 
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -33,26 +33,31 @@
     return this.pending.length;
   }
 
+  /** Number of bytes that are allocated for them. */
+  get capacity(): number {
+    return this.pending.capacity;
+  }
+
   /**
    * Appends bytes and returns the events that they complete; throws a
    * RangeError if the incomplete rest exceeds MAX_EVENT_BYTES.
    */
   push(chunk: Buffer): StreamEvent[] {
     const {pending} = this;
+    const isAlone = pending.length === 0;
     // A terminator may begin in the pending bytes.
     const searchFrom = Math.max(0, pending.length + 1 - CRLF_TERMINATOR.length);
-    pending.append(chunk);
-    const ends = chunk.includes(LF) ? eventEnds(pending.bytes, searchFrom) : [];
+    if (!isAlone) pending.append(chunk);
+    const joined = isAlone ? chunk : pending.bytes;
+    const ends = chunk.includes(LF) ? eventEnds(joined, searchFrom) : [];
     const events: StreamEvent[] = [];
-    if (ends.length > 0) {
-      const bytes = pending.takeAll();
-      let start = 0;
-      for (const end of ends) {
-        this.addEvent(bytes.subarray(start, end), events);
-        start = end;
-      }
-      pending.append(bytes.subarray(start));
+    if (ends.length > 0 && !isAlone) pending.takeAll();
+    let start = 0;
+    for (const end of ends) {
+      this.addEvent(joined.subarray(start, end), events);
+      start = end;
     }
+    if (isAlone || ends.length > 0) pending.append(joined.subarray(start));
     if (pending.length > MAX_EVENT_BYTES) {
       throw new RangeError(`event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,7 +29,8 @@
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
-import {settingsToRestartFor} from './settings.js';
+import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
+import {ResponseBudget} from './response_budget.js';
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StopGate} from './stop_gate.js';
@@ -201,6 +202,11 @@
         onPause: instanceId => dispatchClient.reportNow(instanceId),
       }),
       whenConfigured: () => this.startupGate.whenOpen(),
+      responseBudget: new ResponseBudget(
+        responseBudgetBytes(settings),
+        log,
+        this.metrics.recordResponseDropped,
+      ),
       runTimes,
       stopGate: new StopGate(clock, log, runTimes),
       random: Math.random,
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -13,6 +13,7 @@
     upstreams,
     upstreamPaths,
     upstreamStatements,
+    responseBudget,
   }: GatewayContext,
   dispatcher: Dispatcher,
 ): void {
@@ -29,5 +30,6 @@
   gauge('upstreams_paused', '', upstreamStatements.pausedCount);
   gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
   gauge('tunnels_open', '', upstreamPaths.tunnels.count);
+  gauge('response_bytes_held', '', responseBudget.usedBytes);
   gauge('usage_hub', '', members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
 }
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -63,6 +63,8 @@
     upstreamState: string,
     gapMs: number,
   ) => void;
+  /** Records that a response was given up for the budget of all responses. */
+  readonly recordResponseDropped: () => void;
   /** Sets the gauge of a name and label. */
   readonly setGauge: (name: string, label: string, value: number) => void;
   /** Returns all metrics in the Prometheus text format. */
@@ -107,6 +109,11 @@
     labelNames: [...ROUTE_LABELS, 'by', 'version'],
     registers,
   });
+  const responsesDropped = new Counter({
+    name: `${PREFIX}responses_dropped_total`,
+    help: 'Responses given up for the budget of all responses',
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -164,6 +171,7 @@
     recordEventGap: (route, upstreamState, gapMs) =>
       eventGaps.observe({...route, upstream_state: upstreamState}, gapMs),
     recordResume: (route, by, version) => resumes.inc({...route, by, version}),
+    recordResponseDropped: () => responsesDropped.inc(),
     setGauge: (name, label, value) => stateGauges.set({name, label}, value),
     renderText: () => registry.metrics(),
   };
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -3,7 +3,7 @@
 import {ROUTE_KIND} from './constants.js';
 import type {RequestTimer} from './request_timer.js';
 import type {RequestHead, Route, WireFormat} from './types.js';
-import type {BufferedResponse} from './upstream_send.js';
+import type {BufferedResponse} from './response_body.js';
 
 /**
  * Callers are assumed to abandon a stream without events after the longest of
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -24,7 +24,7 @@
 import type {StreamProgress} from './stream_relay.js';
 import {TriedUpstreams} from './tried_upstreams.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
-import type {BufferedResponse} from './upstream_send.js';
+import type {BufferedResponse} from './response_body.js';
 
 /**
  * Runs one request: waits for a placement, sends the request to that upstream,
--- a/packages/gateway/src/send_outcome.ts
+++ b/packages/gateway/src/send_outcome.ts
@@ -1,6 +1,6 @@
 import type {RunEnd} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
-import type {BufferedResponse} from './upstream_send.js';
+import type {BufferedResponse} from './response_body.js';
 
 /** Outcome of one send to an upstream. */
 export interface SendOutcome {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,5 +1,8 @@
 import {LOG_LEVEL} from '@fescuespool/common';
 import {z} from 'zod';
+import {DEFAULT_MEMORY_LIMIT_MB, RESPONSE_BUDGET_SHARE} from './constants.js';
+
+const BYTES_PER_MB = 1_048_576;
 
 const NAME = z.string().min(1).max(128);
 const ADDRESS = z.string().regex(/^.+:\d{1,5}$/, 'must be host:port');
@@ -48,6 +51,8 @@
     ratio: z.number().min(0),
     extra: z.number().min(0),
   }),
+  /** Memory in megabytes above which the process is killed. */
+  memoryLimitMb: z.number().min(1).default(DEFAULT_MEMORY_LIMIT_MB),
   /** Milliseconds from SIGTERM until the process is killed forcibly. */
   stopGraceMs: MILLISECONDS,
 });
@@ -66,8 +71,14 @@
   'metricsPort',
   'tunnelAddress',
   'logLevel',
+  'memoryLimitMb',
 ] as const;
 
+/** Bytes that all buffered responses may hold together. */
+export function responseBudgetBytes({memoryLimitMb}: GatewaySettings): number {
+  return RESPONSE_BUDGET_SHARE * memoryLimitMb * BYTES_PER_MB;
+}
+
 /** Changed settings that need a restart, as a list for the log. */
 export function settingsToRestartFor(
   previous: GatewaySettings,
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import type {StreamEvent} from './event_splitter.js';
 import {EventSplitter} from './event_splitter.js';
+import type {BudgetShare} from './response_budget.js';
 
 /** Progress of a stream, across all upstreams that have run it. */
 export interface StreamProgress {
@@ -37,6 +38,8 @@
 export interface RelayOptions {
   readonly res: ServerResponse;
   readonly progress: StreamProgress;
+  /** Charged with the bytes of an event that is not complete. */
+  readonly share: BudgetShare;
   readonly nowMs: () => number;
   /**
    * Called after `onFirstEvent`, before that event is sent on; delays it until it
@@ -141,6 +144,7 @@
     const {splitter} = this;
     const {lastEventId} = this.options.progress;
     const events = splitter.push(chunk).filter(e => isAfter(e, lastEventId));
+    this.options.share.resize(splitter.capacity);
     if (events.length === 0) {
       if (splitter.isSpoilt) this.finish('broken');
       return true;
@@ -217,6 +221,7 @@
   private finish(end: RelayEnd): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    this.options.share.release();
     if (end === 'complete') this.sendHead();
     const {eventCount, firstAtMs, lastAtMs} = this;
     const eventGapMs =
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -12,12 +12,7 @@
 import type {RouteLabels} from './gateway_metrics.js';
 import {routeLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
-import {
-  hasBodyHeaders,
-  isRepeatable,
-  isStream,
-  sendBufferedResponse,
-} from './open_request.js';
+import {isStream, sendBufferedResponse} from './open_request.js';
 import type {Grant} from './grant.js';
 import {endToReport} from './send_blame.js';
 import type {SendOutcome} from './send_outcome.js';
@@ -27,10 +22,13 @@
 import type {RelayResult, StreamProgress} from './stream_relay.js';
 import {relayStream} from './stream_relay.js';
 import {StreamVersionTracker} from './stream_version_tracker.js';
+import {bufferResponse, discardResponse} from './response_body.js';
+import type {BudgetShare} from './response_budget.js';
 import {isForeign, judgeResponse} from './response_verdict.js';
 import type {Route, UpstreamResponseHead} from './types.js';
+import {createUpstreamRequest} from './upstream_request.js';
 import type {SendResult} from './upstream_send.js';
-import {bufferResponse, sendToUpstream} from './upstream_send.js';
+import {sendToUpstream} from './upstream_send.js';
 
 /** Statuses that promise the caller that a request has not and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -116,9 +114,8 @@
   }
 
   private send(): Promise<SendResult> {
-    const {req, body, admission, timer} = this.request;
-    const {upstream, expectedStartMs} = this.placement;
-    const minTimeoutMs = isStream(admission.route)
+    const {expectedStartMs} = this.placement;
+    const minTimeoutMs = isStream(this.request.admission.route)
       ? MIN_STREAM_START_TIMEOUT_MS
       : MIN_CALL_START_TIMEOUT_MS;
     const startTimeoutMs = Math.max(
@@ -126,31 +123,17 @@
       START_TIMEOUT_FACTOR * expectedStartMs,
     );
     this.silenceWatch?.expectWithin(Math.round(startTimeoutMs));
-    const {wireFormat, upstreamPaths} = this.gateway;
-    return sendToUpstream(
+    const request = createUpstreamRequest(
+      this.gateway,
+      this.request,
+      this.placement,
       {
-        upstream,
-        method: req.method ?? 'GET',
-        path: req.url ?? '/',
-        headers: wireFormat.upstreamRequestHeaders(req.rawHeaders, {
-          instanceId: upstream.instanceId,
-          accountName: admission.account?.name ?? null,
-          deadlineMs: Math.max(1, Math.floor(timer.remainingMs)),
-          lastEventId: this.progress.lastEventId,
-          bodyBytes: body.length,
-          hasBody: body.length > 0 || hasBodyHeaders(req),
-        }),
-        body,
-        // A reset on a reused connection leaves open whether the request ran, and
-        // a refusal there may be that of an earlier send of this request.
-        agent: upstreamPaths.agentFor(
-          upstream.address,
-          isRepeatable(admission.route) && this.options.send === 1,
-        ),
-        signal: AbortSignal.any([timer.signal, this.abandonment.signal]),
+        lastEventId: this.progress.lastEventId,
+        isFirst: this.options.send === 1,
+        signal: this.abandonment.signal,
       },
-      wireFormat,
-    ).then(result => {
+    );
+    return sendToUpstream(request, this.gateway.wireFormat).then(result => {
       this.silenceWatch?.stop();
       if (result.kind !== 'answered') return result;
       this.reportedLoad = result.head.load;
@@ -238,7 +221,7 @@
     switch (verdict) {
       case 'not_run':
       case 'replaced': {
-        exchange.res.resume();
+        discardResponse(exchange);
         const {REPLACED, REJECTED} = RUN_END;
         const end = verdict === 'replaced' ? REPLACED : REJECTED;
         return notRun(end, `rejected without running, status ${status}`, true);
@@ -279,8 +262,10 @@
     const expectEvent = (): void =>
       this.silenceWatch?.expectWithin(eventTimeoutMs(admission.route));
     expectEvent();
+    const share = this.openShare(exchange);
     const result = await relayStream(exchange, {
       res,
+      share,
       progress: this.progress,
       nowMs: clock.monotonicMs,
       beforeFirstEvent: () => versionTracker.shareOrigin(),
@@ -329,15 +314,19 @@
     status: number,
   ): Promise<SendOutcome> {
     this.reportStart(null);
-    const response = await bufferResponse(exchange);
-    if (!response) {
+    const share = this.openShare(exchange);
+    const result = await bufferResponse(exchange, share);
+    if (result.kind === 'failed') {
       if (this.request.timer.signal.aborted) return this.cancelledOutcome();
       if (this.silenceWatch?.hasOther) return this.handleAbort(true);
       return {
-        ...failedRun(RUN_END.FAILED, 'response incomplete or too large'),
+        ...failedRun(RUN_END.FAILED, result.cause),
         isConnectionFailure: true,
       };
     }
+    // It is held until the caller has taken it.
+    this.request.res.once('close', () => share.release());
+    const {response} = result;
     // To the caller, these statuses would mean that the request did not run,
     // which the upstream did not say.
     const meansNotRun = NOT_RUN_STATUSES.has(status);
@@ -350,6 +339,12 @@
     return {...outcome, errorResponse: meansNotRun ? null : response};
   }
 
+  private openShare({abort}: HttpExchange): BudgetShare {
+    const {requestId} = this.request.head;
+    const {instanceId: upstreamId} = this.placement.upstream;
+    return this.gateway.responseBudget.open({requestId, upstreamId, abort});
+  }
+
   private recordSurvival(): void {
     if (this.progress.hasSurvived) return;
     this.progress.hasSurvived = true;
--- a/packages/gateway/src/upstream_send.ts
+++ b/packages/gateway/src/upstream_send.ts
@@ -3,7 +3,7 @@
 import {CALL_ERROR_KIND, openExchange} from '@fescuespool/transport';
 import type {Agent} from 'node:http';
 import {isAddressable} from './address.js';
-import {ANY_PATH_TIMEOUT_MS, MAX_BUFFERED_RESPONSE_BYTES} from './constants.js';
+import {ANY_PATH_TIMEOUT_MS} from './constants.js';
 import {PathError} from './errors.js';
 import type {UpstreamResponseHead, WireFormat} from './types.js';
 
@@ -75,38 +75,3 @@
     ? isAddressable(upstream)
     : cause instanceof PathError && cause.isOwnFault;
 }
-
-/** A complete response, buffered before any of it is sent to the caller. */
-export interface BufferedResponse {
-  readonly status: number;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-}
-
-/**
- * Reads a response to its end; null if it is incomplete or exceeds
- * MAX_BUFFERED_RESPONSE_BYTES.
- */
-export async function bufferResponse(
-  exchange: HttpExchange,
-): Promise<BufferedResponse | null> {
-  const {res} = exchange;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of res as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAX_BUFFERED_RESPONSE_BYTES) {
-        exchange.abort();
-        return null;
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    // The connection broke, so the response is incomplete.
-    return null;
-  }
-  if (!res.complete || exchange.hasFailed()) return null;
-  const {rawHeaders} = res;
-  return {status: res.statusCode ?? 0, rawHeaders, body: Buffer.concat(chunks)};
-}
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -117,6 +117,12 @@
       stopTimers();
       fail(error);
     });
+    // Nothing was asked for that another protocol could answer.
+    req.on('upgrade', (_res, socket) => {
+      stopTimers();
+      socket.destroy();
+      fail(new Error('upstream switched to another protocol'));
+    });
     req.on('response', res => {
       stopTimers();
       const endsWithConnection = isDelimitedByClose(res);
