Bench: measure streams by the size of their chunks

Keeps the cost of splitting a stream linear: "npm run bench -- chunks" compares the bytes a second of one incomplete event in chunks of 1, 17 and 16,384 bytes, less the constant cost per chunk, and exits with 1 if one is below a tenth of the highest.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -10,6 +10,7 @@
 import {join} from 'node:path';
 import PQueue from 'p-queue';
 import {findBoundBreaches} from './bounds.js';
+import {findChunkRateBreaches, measureChunkRates} from './chunk_rates.js';
 import {runExperiment} from './experiment.js';
 import type {Experiment, RunFigures} from './experiment_types.js';
 import {EXPERIMENT_SCHEMA} from './experiment_types.js';
@@ -123,7 +124,30 @@
   }
 }
 
+class ChunksCommand extends Command {
+  static override paths = [['chunks']];
+  static override usage = Command.Usage({
+    description: 'measure streams by the size of their chunks',
+    details: `
+      Prints the bytes a second of each chunk size. Exits with 1 when one is
+      below a tenth of the highest.
+    `,
+  });
+
+  execute(): Promise<number> {
+    const {stdout} = this.context;
+    const rates = measureChunkRates();
+    for (const {chunkBytes, bytesPerS} of rates) {
+      stdout.write(`chunks of ${chunkBytes}: ${Math.round(bytesPerS)} B/s\n`);
+    }
+    const breaches = findChunkRateBreaches(rates);
+    for (const breach of breaches) stdout.write(`BREACH ${breach}\n`);
+    return Promise.resolve(breaches.length > 0 ? 1 : 0);
+  }
+}
+
 const cli = new Cli({binaryName: 'fescuespool-bench'});
 cli.register(RunCommand);
+cli.register(ChunksCommand);
 cli.register(Builtins.HelpCommand);
 process.exit(await cli.run(process.argv.slice(2), Cli.defaultContext));
