Bound the chunks of an event, of a buffered response and of a rejection

Change: an event has at most 16,384 chunks, a buffered response 65,536, and of a rejection's rest 1,024 are read.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -249,6 +249,18 @@
 /** Largest event of a stream in bytes. */
 export const MAX_EVENT_BYTES = 262_144;
 
+/**
+ * Most chunks of an event. Each costs processor time, however small it is, for
+ * which all other requests wait.
+ */
+export const MAX_EVENT_CHUNKS = 16_384;
+
+/** Most chunks of a response that is buffered. */
+export const MAX_BUFFERED_CHUNKS = 65_536;
+
+/** Most chunks of a rejection's body that are read to keep its connection. */
+export const MAX_DISCARDED_CHUNKS = 1_024;
+
 /** Number of sends that upstreams may reject before the request is refused. */
 export const MAX_REJECTED_SENDS = 8;
 
--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -1,5 +1,5 @@
 import {ByteAccumulator} from '@fescuespool/transport';
-import {MAX_EVENT_BYTES} from './constants.js';
+import {MAX_EVENT_BYTES, MAX_EVENT_CHUNKS} from './constants.js';
 
 const ID_LINE = /^id:[ ]?(.*?)\r?$/m;
 const DATA_LINE = /^data:/m;
@@ -27,6 +27,7 @@
   isSpoilt = false;
   /** Beginning of an event; contains no terminator. */
   private readonly pending = new ByteAccumulator();
+  private pendingChunks = 0;
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
@@ -40,7 +41,8 @@
 
   /**
    * Appends bytes and returns the events that they complete; throws a
-   * RangeError if the incomplete rest exceeds MAX_EVENT_BYTES.
+   * RangeError if the incomplete rest exceeds MAX_EVENT_BYTES or came in more
+   * than MAX_EVENT_CHUNKS.
    */
   push(chunk: Buffer): StreamEvent[] {
     const {pending} = this;
@@ -58,9 +60,13 @@
       start = end;
     }
     if (isAlone || ends.length > 0) pending.append(joined.subarray(start));
+    this.pendingChunks = ends.length > 0 ? 1 : this.pendingChunks + 1;
     if (pending.length > MAX_EVENT_BYTES) {
       throw new RangeError(`event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
+    if (this.pendingChunks > MAX_EVENT_CHUNKS) {
+      throw new RangeError(`event exceeds ${MAX_EVENT_CHUNKS} chunks`);
+    }
     return events;
   }
 
--- a/packages/gateway/src/response_body.ts
+++ b/packages/gateway/src/response_body.ts
@@ -1,9 +1,11 @@
 import type {HttpExchange} from '@fescuespool/transport';
 import {ByteAccumulator} from '@fescuespool/transport';
 import {
+  MAX_BUFFERED_CHUNKS,
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_DISCARD_MS,
   MAX_DISCARDED_BYTES,
+  MAX_DISCARDED_CHUNKS,
 } from './constants.js';
 import type {BudgetShare} from './response_budget.js';
 
@@ -21,7 +23,8 @@
 
 /**
  * Reads a response to its end. It fails if it is incomplete, exceeds
- * MAX_BUFFERED_RESPONSE_BYTES, or is given up for the budget.
+ * MAX_BUFFERED_RESPONSE_BYTES or MAX_BUFFERED_CHUNKS, or is given up for the
+ * budget.
  */
 export async function bufferResponse(
   exchange: HttpExchange,
@@ -29,6 +32,7 @@
 ): Promise<BufferResult> {
   const {res} = exchange;
   const body = new ByteAccumulator();
+  let chunkCount = 0;
   const fail = (cause: string): BufferResult => {
     share.release();
     return {kind: 'failed', cause};
@@ -39,6 +43,10 @@
         exchange.abort();
         return fail(`response exceeds ${MAX_BUFFERED_RESPONSE_BYTES} bytes`);
       }
+      if (++chunkCount > MAX_BUFFERED_CHUNKS) {
+        exchange.abort();
+        return fail(`response exceeds ${MAX_BUFFERED_CHUNKS} chunks`);
+      }
       body.append(chunk);
       share.resize(body.capacity);
       if (share.isDropped) return fail('response dropped for the budget');
@@ -62,14 +70,17 @@
 
 /**
  * Reads and discards the rest of a response, so that its connection can be used
- * again; closes it if there is more than MAX_DISCARDED_BYTES or MAX_DISCARD_MS.
+ * again; closes it if that takes more than MAX_DISCARDED_BYTES,
+ * MAX_DISCARDED_CHUNKS or MAX_DISCARD_MS.
  */
 export function discardResponse({res, abort}: HttpExchange): void {
   let size = 0;
+  let chunkCount = 0;
   const timer = setTimeout(abort, MAX_DISCARD_MS);
   res.on('data', (chunk: Buffer) => {
     size += chunk.length;
-    if (size > MAX_DISCARDED_BYTES) abort();
+    const isLong = ++chunkCount > MAX_DISCARDED_CHUNKS;
+    if (isLong || size > MAX_DISCARDED_BYTES) abort();
   });
   // The connection may break; nothing waits for it.
   res.on('error', () => undefined);
