Move the constants of a stop and the timeouts of a send to files of their own

Read as a newcomer: timeouts are arithmetic on a route, and the constants of a stop belong to its policy. No behaviour changes.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -5,7 +5,7 @@
   DEREGISTRATION_DELAY_MS,
   LAST_RESPONSE_MARGIN_MS,
   STOP_MARGIN_MS,
-} from './constants.js';
+} from './stop_constants.js';
 import type {GatewayContext} from './gateway_context.js';
 
 /** What serves callers and has to end. */
--- a/packages/gateway/src/stop_policy.ts
+++ b/packages/gateway/src/stop_policy.ts
@@ -5,7 +5,7 @@
   MAX_ROUTES_WITH_RUN_TIMES,
   MAX_RUN_TIMES,
   USUAL_RUN_QUANTILE,
-} from './constants.js';
+} from './stop_constants.js';
 import {isRepeatable} from './open_request.js';
 import type {Route} from './types.js';
 
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -1,12 +1,5 @@
 import {RUN_END} from '@fescuespool/scheduling';
 import type {HttpExchange} from '@fescuespool/transport';
-import {
-  EVENT_GAP_TIMEOUT_FACTOR,
-  MIN_CALL_START_TIMEOUT_MS,
-  MIN_STREAM_EVENT_TIMEOUT_MS,
-  MIN_STREAM_START_TIMEOUT_MS,
-  START_TIMEOUT_FACTOR,
-} from './constants.js';
 import {checkForDeath} from './death_probe.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {RouteLabels} from './gateway_metrics.js';
@@ -25,10 +18,11 @@
 import {bufferResponse, discardResponse} from './response_body.js';
 import type {BudgetShare} from './response_budget.js';
 import {isForeign, judgeResponse} from './response_verdict.js';
-import type {Route, UpstreamResponseHead} from './types.js';
+import type {UpstreamResponseHead} from './types.js';
 import {createUpstreamRequest} from './upstream_request.js';
 import type {SendResult} from './upstream_send.js';
 import {sendToUpstream} from './upstream_send.js';
+import {eventTimeoutMs, startTimeoutMs} from './upstream_timeouts.js';
 
 /** Statuses that promise the caller that a request has not and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -114,15 +108,9 @@
   }
 
   private send(): Promise<SendResult> {
+    const {route} = this.request.admission;
     const {expectedStartMs} = this.placement;
-    const minTimeoutMs = isStream(this.request.admission.route)
-      ? MIN_STREAM_START_TIMEOUT_MS
-      : MIN_CALL_START_TIMEOUT_MS;
-    const startTimeoutMs = Math.max(
-      minTimeoutMs,
-      START_TIMEOUT_FACTOR * expectedStartMs,
-    );
-    this.silenceWatch?.expectWithin(Math.round(startTimeoutMs));
+    this.silenceWatch?.expectWithin(startTimeoutMs(route, expectedStartMs));
     const request = createUpstreamRequest(
       this.gateway,
       this.request,
@@ -384,11 +372,3 @@
     });
   }
 }
-
-/** Milliseconds without an event after which a stream counts as stalled. */
-function eventTimeoutMs({maxEventGapMs}: Route): number {
-  return Math.max(
-    MIN_STREAM_EVENT_TIMEOUT_MS,
-    EVENT_GAP_TIMEOUT_FACTOR * (maxEventGapMs ?? 0),
-  );
-}
