Release the share of a response whose caller has left before it was whole

Found by reading the change again: relayBuffered released what a response holds of the budget at the close of its caller's connection. If that had closed while the last bytes were being taken, the event was over and the share was never released, so that the budget would shrink. Not seen in a run, and no test plays that moment.

--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -313,7 +313,9 @@
       };
     }
     // It is held until the caller has taken it.
-    this.request.res.once('close', () => share.release());
+    const {res} = this.request;
+    if (res.destroyed) share.release();
+    else res.once('close', () => share.release());
     const {response} = result;
     // To the caller, these statuses would mean that the request did not run,
     // which the upstream did not say.
