Tell the queue's owner all figures of a load, and what a request is

Cause: a load header with four figures was dropped whole, so that running and waiting requests were lost too, and the owner of a queue knows neither a request's account, output, accepted gap nor the parts of its prompt, which placing, sharing and refusing need. Change: the header's figures are read one by one, an odd one costs itself; GrantRequest and ReportedLoad have further fields, which default to none where an earlier build sends them. Nothing uses them yet.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -13,6 +13,7 @@
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import {partIds} from './prompt_parts.js';
 import {RequestTimer} from './request_timer.js';
 import {RequestRun} from './request_run.js';
 import type {RequestHead} from './types.js';
@@ -169,7 +170,7 @@
     fingerprint: string,
     {promptParts}: RequestHead,
   ): void {
-    const evidence = {fingerprint, parts: promptParts};
+    const evidence = {fingerprint, parts: partIds(promptParts)};
     if (!this.gateway.crashGuard.isSuspected(evidence)) return;
     throw new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -361,3 +361,6 @@
  * requests that are on their way.
  */
 export const IDLE_CLOSE_MARGIN_MS = 1_000;
+
+/** Maximum number of prompt parts of one request that are considered. */
+export const MAX_PROMPT_PARTS = 64;
--- a/packages/gateway/src/death_probe.ts
+++ b/packages/gateway/src/death_probe.ts
@@ -4,6 +4,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {RouteLabels} from './gateway_metrics.js';
 import type {OpenRequest} from './open_request.js';
+import {partIds} from './prompt_parts.js';
 
 /** What probing an upstream shows after a connection to it has failed. */
 const PROBE_RESULT = {
@@ -54,10 +55,10 @@
     result,
     hasBegun,
     fingerprint,
-    promptParts: head.promptParts.join(',') || undefined,
+    promptParts: partIds(head.promptParts).join(',') || undefined,
   });
   metrics.recordProbe(labels, result, hasBegun);
   if (result !== PROBE_RESULT.DIED) return;
-  const parts = hasBegun ? [] : head.promptParts;
+  const parts = hasBegun ? [] : partIds(head.promptParts);
   crashGuard.announceDeath(upstream.instanceId, {fingerprint, parts});
 }
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -18,7 +18,7 @@
   {hasSentHead}: StreamProgress,
   history: SendHistory,
 ): GrantRequest {
-  const {route} = admission;
+  const {route, account} = admission;
   const {localMember} = gateway.members;
   // Once a stream has begun, the objective is the time to its next event.
   const objectiveLeftMs = hasSentHead
@@ -37,6 +37,12 @@
     objectiveLeftMs: Math.round(objectiveLeftMs),
     patienceLeftMs: Math.round(patienceLeftMs),
     isRepeatable: isRepeatable(route),
+    route: route.name,
+    account: account?.name ?? null,
+    accountQuotaPerS: account?.quota?.perSecond ?? null,
+    outputTokens: head.tokens?.output ?? null,
+    maxEventGapMs: route.maxEventGapMs,
+    promptParts: head.promptParts,
     ...history,
   };
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -7,7 +7,11 @@
   RUN_END,
 } from '@fescuespool/scheduling';
 import {z} from 'zod';
-import {MAX_EXCLUDED_UPSTREAMS, MAX_LEAVING_REPORTED} from './constants.js';
+import {
+  MAX_EXCLUDED_UPSTREAMS,
+  MAX_LEAVING_REPORTED,
+  MAX_PROMPT_PARTS,
+} from './constants.js';
 
 const ID = z.string().max(256);
 const COUNT = z.number().int().min(0);
@@ -15,7 +19,17 @@
 const MAX_RUNS = 4_096;
 const MAX_TIER = 99;
 
-const LOAD = z.object({running: COUNT, waiting: COUNT}).nullable();
+/** Fields that earlier builds don't send are as if the upstream told none. */
+const LOAD = z
+  .object({
+    running: COUNT,
+    waiting: COUNT,
+    slots: COUNT.nullable().catch(null),
+    slowdown: z.number().positive().nullable().catch(null),
+  })
+  .nullable();
+
+const PROMPT_PART = z.object({id: ID, tokens: COUNT});
 
 /** A reason that only a later build knows is still a refusal. */
 const REFUSAL_REASON = z
@@ -42,6 +56,13 @@
     excluded: z.array(ID).max(MAX_EXCLUDED_UPSTREAMS),
     avoidedZones: z.array(ID).max(64),
     requiredVersion: ID.nullable().default(null),
+    // Hints that can't be read, such as a name that is too long, are as none.
+    route: ID.nullable().catch(null),
+    account: ID.nullable().catch(null),
+    accountQuotaPerS: z.number().positive().nullable().catch(null),
+    outputTokens: COUNT.nullable().catch(null),
+    maxEventGapMs: MILLISECONDS.nullable().catch(null),
+    promptParts: z.array(PROMPT_PART).max(MAX_PROMPT_PARTS).catch([]),
   }),
 });
 
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -13,6 +13,7 @@
 import type {Grant} from './grant.js';
 import {logPlacement, returnGrant} from './grant.js';
 import {checkGrant, confirmLife} from './grant_check.js';
+import {partIds} from './prompt_parts.js';
 import {createGrantRequest, versionToBegin} from './grant_request.js';
 import type {OpenRequest} from './open_request.js';
 import {isRepeatable, isStream, sendBufferedResponse} from './open_request.js';
@@ -115,7 +116,9 @@
       this.grant = placed;
       if (await this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
-      if (this.gateway.crashGuard.hasCause(this.request.head.promptParts)) {
+      if (
+        this.gateway.crashGuard.hasCause(partIds(this.request.head.promptParts))
+      ) {
         this.returnGrant(placed, RUN_END.CANCELLED);
         throw this.refusals.unlessRun(
           new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED),
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,6 +1,7 @@
 import type {ValueOf} from '@fescuespool/common';
 import type {
   NamedLimits,
+  PromptPart,
   QuotaLimit,
   ReportedLoad,
 } from '@fescuespool/scheduling';
@@ -89,8 +90,8 @@
   readonly lastEventId: string | null;
   /** Id of the request that brought the first event of the stream to resume. */
   readonly resumedRequestId: string | null;
-  /** Ids of the parts of its prompt, some of which other requests share. */
-  readonly promptParts: readonly string[];
+  /** Parts of its prompt, some of which other requests share. */
+  readonly promptParts: readonly PromptPart[];
 }
 
 /** Values for the headers that the gateway adds to a forwarded request. */
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -7,6 +7,7 @@
 import type {OpenRequest} from './open_request.js';
 import {isStream, sendBufferedResponse} from './open_request.js';
 import type {Grant} from './grant.js';
+import {partIds} from './prompt_parts.js';
 import {endToReport} from './send_blame.js';
 import type {SendOutcome} from './send_outcome.js';
 import {COMPLETED, failedRun, notRun} from './send_outcome.js';
@@ -339,7 +340,7 @@
     if (this.progress.hasSurvived) return;
     this.progress.hasSurvived = true;
     const {promptParts} = this.request.head;
-    this.gateway.crashGuard.announceSurvival(promptParts);
+    this.gateway.crashGuard.announceSurvival(partIds(promptParts));
   }
 
   private reportStart(load: UpstreamResponseHead['load']): void {
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -6,6 +6,7 @@
   Placement,
   QueueAnswer,
   QueueRefusal,
+  ReportedLoad,
   RunEnd,
   UpstreamSpec,
 } from '../types.js';
@@ -53,10 +54,21 @@
     excluded: [],
     avoidedZones: [],
     requiredVersion: null,
+    route: null,
+    account: null,
+    accountQuotaPerS: null,
+    outputTokens: null,
+    maxEventGapMs: null,
+    promptParts: [],
     ...changes,
   };
 }
 
+/** The load of an idle upstream with the given changes. */
+export function reportedLoad(changes: Partial<ReportedLoad>): ReportedLoad {
+  return {running: 0, waiting: 0, slots: null, slowdown: null, ...changes};
+}
+
 /** A queue with a manual clock that records the answers and their order. */
 export class QueueHarness {
   /** Time of the queue's clock in milliseconds. */
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -35,6 +35,24 @@
    * that any upstream may run.
    */
   readonly requiredVersion: string | null;
+  /** Name of the route; null from gateways that don't tell it. */
+  readonly route: string | null;
+  /** Client account that sent it; null where callers need no key. */
+  readonly account: string | null;
+  /** The account's quota in units per second; null where it has none. */
+  readonly accountQuotaPerS: number | null;
+  /** Maximum number of tokens that it generates; null if not known. */
+  readonly outputTokens: number | null;
+  /** Longest acceptable milliseconds between two events; null if unset. */
+  readonly maxEventGapMs: number | null;
+  /** Parts of its prompt in order, which other requests may share. */
+  readonly promptParts: readonly PromptPart[];
+}
+
+/** A part of a prompt, which requests with the same beginning share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
 }
 
 /** An upstream as listed in the registry. */
@@ -54,10 +72,16 @@
   readonly softwareVersion: string | null;
 }
 
-/** Number of requests that an upstream reports with its response. */
+/** Load that an upstream reports with its response. */
 export interface ReportedLoad {
+  /** Requests that it runs. */
   readonly running: number;
+  /** Requests that wait there. */
   readonly waiting: number;
+  /** Requests that it runs at most; null if not told. */
+  readonly slots: number | null;
+  /** Time that work takes there now, where 1 is as usual; null if not told. */
+  readonly slowdown: number | null;
 }
 
 /** The upstream granted to a request, with the inputs of the decision. */
