--- a/packages/gateway/src/gateway_peers.ts
+++ b/packages/gateway/src/gateway_peers.ts
@@ -29,6 +29,11 @@
     this.addedHandlers[method] = handler;
   }
 
+  /** Number of members in this member's list, itself included. */
+  get memberCount(): number {
+    return this.members.allMembers.length;
+  }
+
   /** The owner of a key according to this member's list and suspicions. */
   ownerOf(key: string): GatewayMember {
     return this.members.ownerOf(key);
