Weigh the beginning of a prompt that an upstream still holds

Cause: the queue's estimate of a start knew the length of a prompt, but not what the upstream had read of it, though grant requests carry the parts since. So a beginning that was in memory at one upstream was read again at another, and start times of shorter reads skewed the model of start times.

Change: PromptPrefixes remembers for each life of an upstream the parts that it has read, from the begin of a response on, bounded by an assumed memory less what runs there, dropped at a restart and when a start takes as long as an unread prompt. The chooser takes held tokens off the prompt, so that they are weighed in milliseconds against the wait. Placements tell heldTokens and rereadTokens (0 from earlier builds) for the log and prompt_tokens_total.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -4,6 +4,7 @@
   EndReport,
   GrantRequest,
   QueueAnswer,
+  QueueStats,
   RetryBudgetBounds,
   StartReport,
   UpstreamLimits,
@@ -11,6 +12,7 @@
 } from '@fescuespool/scheduling';
 import {
   DispatchQueue,
+  queueStats,
   RetryBudget,
   UpstreamPauses,
   UpstreamRateLimiter,
@@ -140,12 +142,11 @@
     }
   }
 
-  /** Number of waiting and running requests per queue, for metrics. */
-  queueStats(): {service: string; waiting: number; running: number}[] {
+  /** Present figures of each queue, for metrics. */
+  queueStats(): (QueueStats & {service: string})[] {
     return [...this.queues].map(([service, queue]) => ({
       service,
-      waiting: queue.waitingCount,
-      running: queue.runningCount,
+      ...queueStats(queue),
     }));
   }
 
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -18,9 +18,11 @@
   dispatcher: Dispatcher,
 ): void {
   const {setGauge: gauge} = metrics;
-  for (const {service, waiting, running} of dispatcher.queueStats()) {
-    gauge('queue_waiting', service, waiting);
-    gauge('queue_running', service, running);
+  for (const {service, ...stats} of dispatcher.queueStats()) {
+    gauge('queue_waiting', service, stats.waiting);
+    gauge('queue_running', service, stats.running);
+    gauge('prompt_parts_held', service, stats.heldParts);
+    gauge('prompt_tokens_disproved', service, stats.disprovedTokens);
   }
   gauge('config_version', '', configState.current?.version ?? 0);
   gauge('members_suspected', '', members.suspectedMembers.length);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -63,6 +63,11 @@
     upstreamState: string,
     gapMs: number,
   ) => void;
+  /** Records prompt tokens that a granted upstream holds, or reads again. */
+  readonly recordPromptTokens: (
+    outcome: 'held' | 'reread',
+    tokens: number,
+  ) => void;
   /** Records that a response was given up for the budget of all responses. */
   readonly recordResponseDropped: () => void;
   /** Sets the gauge of a name and label. */
@@ -114,6 +119,12 @@
     help: 'Responses given up for the budget of all responses',
     registers,
   });
+  const promptTokens = new Counter({
+    name: `${PREFIX}prompt_tokens_total`,
+    help: 'Tokens of prompts that an upstream held when a request was sent',
+    labelNames: ['outcome'],
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -171,6 +182,8 @@
     recordEventGap: (route, upstreamState, gapMs) =>
       eventGaps.observe({...route, upstream_state: upstreamState}, gapMs),
     recordResume: (route, by, version) => resumes.inc({...route, by, version}),
+    recordPromptTokens: (outcome, tokens) =>
+      promptTokens.inc({outcome}, tokens),
     recordResponseDropped: () => responsesDropped.inc(),
     setGauge: (name, label, value) => stateGauges.set({name, label}, value),
     renderText: () => registry.metrics(),
--- a/packages/gateway/src/grant.ts
+++ b/packages/gateway/src/grant.ts
@@ -10,11 +10,14 @@
 
 /** Logs that an upstream was granted, with the inputs of the decision. */
 export function logPlacement(
-  {log, dispatchClient, upstreamPaths, limitObserver}: GatewayContext,
+  {log, metrics, dispatchClient, upstreamPaths, limitObserver}: GatewayContext,
   grant: Grant,
   fields: {id: string; service: string; send: number},
 ): void {
   const {upstream, waitedMs, freeSlots, isOnTrial, expectedStartMs} = grant;
+  const {heldTokens, rereadTokens} = grant;
+  metrics.recordPromptTokens('held', heldTokens);
+  metrics.recordPromptTokens('reread', rereadTokens);
   log.info('placed', {
     ...fields,
     upstream: upstream.instanceId,
@@ -22,6 +25,8 @@
     freeSlots,
     isOnTrial,
     expectedStartMs: Math.round(expectedStartMs),
+    heldTokens: heldTokens || undefined,
+    rereadTokens: rereadTokens || undefined,
     version: upstream.softwareVersion ?? undefined,
     grantedBy: dispatchClient.granterOf(grant.grantId),
     isTunnelled: upstreamPaths.usesTunnel(upstream.address) || undefined,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -85,6 +85,9 @@
       freeSlots: z.number(),
       isOnTrial: z.boolean(),
       rateLimitPerS: z.number().nullable().default(null),
+      // Hints for the log, as none if they can't be read.
+      heldTokens: COUNT.catch(0),
+      rereadTokens: COUNT.catch(0),
     }),
   }),
   z.object({
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -131,7 +131,14 @@
       'grant',
       GRANT_ANSWER_SCHEMA,
       {kind: 'placed', placement: {upstream: UPSTREAM, ...PLACEMENT}},
-      {placement: {upstream: {softwareVersion: null}, rateLimitPerS: null}},
+      {
+        placement: {
+          upstream: {softwareVersion: null},
+          rateLimitPerS: null,
+          heldTokens: 0,
+          rereadTokens: 0,
+        },
+      },
     ],
     [
       'grant at a version',
@@ -258,6 +265,8 @@
     upstream: {...UPSTREAM, softwareVersion: 'v1'},
     ...PLACEMENT,
     rateLimitPerS: null,
+    heldTokens: 800,
+    rereadTokens: 0,
   },
 };
 const STARTED: z.input<typeof STARTED_SCHEMA> = {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -16,6 +16,7 @@
 import {LatencyEstimator} from './latency_estimator.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
+import {PromptPrefixes} from './prefix/prompt_prefixes.js';
 import {hasRequiredVersion, lackOf} from './required_version.js';
 import {retryAfterMs} from './retry_after.js';
 import type {RetryBudget} from './retry_budget.js';
@@ -54,6 +55,8 @@
 export class DispatchQueue {
   /** Upstreams of the service by instance id. */
   readonly upstreams = new Map<string, UpstreamState>();
+  /** Parts of prompts that the upstreams hold. */
+  readonly prefixes: PromptPrefixes;
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
   private readonly chooser: UpstreamChooser;
@@ -68,7 +71,9 @@
 
   constructor(private readonly options: DispatchQueueOptions) {
     const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
-    this.chooser = new UpstreamChooser(this.latency, rateLimiter);
+    this.prefixes = new PromptPrefixes(this.latency);
+    const {heldTokens} = this.prefixes;
+    this.chooser = new UpstreamChooser(this.latency, rateLimiter, heldTokens);
     this.brittleGuard = new BrittleGuard(
       rateLimiter,
       mayHaveOtherOwner,
@@ -86,13 +91,6 @@
     return this.waiting.size;
   }
 
-  /** Number of granted requests that have not ended. */
-  get runningCount(): number {
-    let count = 0;
-    for (const state of this.upstreams.values()) count += state.runs.size;
-    return count;
-  }
-
   /** Queues a request; `answer` gets its placement or refusal, now or later. */
   submit(request: GrantRequest, answer: (answer: QueueAnswer) => void): void {
     const now = this.options.nowMs();
@@ -143,7 +141,8 @@
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
-      this.latency.observeStart(state, run.promptTokens, report.startMs);
+      const readTokens = this.prefixes.recordStart(state, run, report.startMs);
+      this.latency.observeStart(state, readTokens, report.startMs);
       state.recordStart(report.requestId, report.load, now);
       return;
     }
@@ -161,6 +160,7 @@
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
+      this.prefixes.recordEnd(state, report);
       state.recordEnd(report, now);
       if (report.end === RUN_END.COMPLETED) {
         this.latency.observeRun(this.upstreams.values(), report.runMs);
@@ -370,11 +370,13 @@
     const {request} = waiting;
     const {rateLimiter} = this.options;
     const freeSlots = state.freeSlots(now);
+    const states = this.upstreams.values();
+    const held = this.prefixes.recordGrant(state, request, states);
     rateLimiter.take(state.spec, now);
     state.runs.set(request.requestId, {
       requestId: request.requestId,
       entryId: request.entryId,
-      promptTokens: request.promptTokens,
+      promptTokens: request.promptTokens - held.heldTokens,
       grantedAtMs: now,
       expectedStartMs: startMs,
       hasStarted: false,
@@ -389,6 +391,7 @@
         freeSlots,
         isOnTrial: state.isOnTrial,
         rateLimitPerS: rateLimiter.limitOf(state.spec, now),
+        ...held,
       },
     });
   }
--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -44,6 +44,11 @@
     return this.meanRunMs * this.slowdownOf(state);
   }
 
+  /** Expected milliseconds that reading prompt tokens takes on an upstream. */
+  prefillMs(state: UpstreamState, promptTokens: number): number {
+    return this.slowdownOf(state) * this.model.prefillMs(promptTokens);
+  }
+
   /** Expected milliseconds to the first byte, after the prompts already sent. */
   predictStartMs(state: UpstreamState, promptTokens: number): number {
     const wait = this.model.prefillMs(state.pendingPromptTokens());
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -103,6 +103,11 @@
     });
   }
 
+  /** Reports that a response began some milliseconds after its send. */
+  start(requestId: string, startMs = 1): void {
+    this.queue.handleStartReport({requestId, startMs, load: null});
+  }
+
   /** Reports the end of a run. */
   end(requestId: string, end: RunEnd = RUN_END.COMPLETED, runMs = 100): void {
     const report = {requestId, end, runMs, eventGapMs: null, load: null};
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -97,6 +97,10 @@
   readonly isOnTrial: boolean;
   /** Limit of the upstream in requests per second; null for none. */
   readonly rateLimitPerS: number | null;
+  /** Tokens of the prompt that the upstream is taken to hold. */
+  readonly heldTokens: number;
+  /** Tokens of the prompt that it reads although another one holds them. */
+  readonly rereadTokens: number;
 }
 
 /** A run whose end was reported, and what that did to its upstream. */
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -5,6 +5,7 @@
   RUN_TIME_WEIGHT,
 } from './constants.js';
 import type {LatencyEstimator} from './latency_estimator.js';
+import type {HeldTokens} from './prefix/prompt_prefixes.js';
 import {hasRequiredVersion} from './required_version.js';
 import type {GrantRequest} from './types.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
@@ -39,6 +40,8 @@
   constructor(
     private readonly latency: LatencyEstimator,
     private readonly rateLimiter: UpstreamRateLimiter,
+    /** Tokens of a request's prompt that an upstream need not read. */
+    private readonly heldTokens: HeldTokens = () => 0,
   ) {}
 
   /**
@@ -98,7 +101,8 @@
 
   /** Estimates the cost of a request at an upstream in milliseconds. */
   private estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
-    const startMs = this.latency.predictStartMs(state, request.promptTokens);
+    const readTokens = request.promptTokens - this.heldTokens(state, request);
+    const startMs = this.latency.predictStartMs(state, readTokens);
     const {zone} = state.spec;
     const crossZoneMs = zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
     const isAvoided = request.avoidedZones.includes(zone);
