Share a tier's room among client accounts, and refuse what can't be served at once

Inside a tier the queue went by the earliest objective alone, so that an account that sent many times its usual took the room of the others; and a request was admitted by those ahead of it at that moment, so that arrivals of higher tiers pushed it back until it was refused after a median of 1.5 s (order-summary) of 2.4 s that its caller waits. Refused callers came back behind all new requests, as late ones, and were refused again.

The owner of a queue now counts the work of grants that others waited for, by tier and account, and puts accounts with more than their share behind; the forecast of a wait counts the arrivals of higher tiers; starts are allowed for as long as they take; Retry-After is spread, stays within the third of the time left that clients wait, and sets a quarter of the room aside for those who keep to it. Gauges count those told to return, returned and refused again; a grant request tells the time limit left.

--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -335,8 +335,10 @@
   request: GrantRequest,
   waitedMs: number,
 ): GrantRequest {
+  const {timeLeftMs} = request;
   return {
     ...request,
+    timeLeftMs: timeLeftMs === null ? null : Math.round(timeLeftMs - waitedMs),
     objectiveLeftMs: Math.round(request.objectiveLeftMs - waitedMs),
     patienceLeftMs: Math.round(request.patienceLeftMs - waitedMs),
   };
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -5,6 +5,7 @@
   GrantRequest,
   QueueAnswer,
   RetryBudgetBounds,
+  ReturnCounts,
   StartReport,
   UpstreamLimits,
   UpstreamSpec,
@@ -21,6 +22,15 @@
 /** Registered upstreams, keyed by service name. */
 export type UpstreamsByService = ReadonlyMap<string, readonly UpstreamSpec[]>;
 
+/** Figures of a queue since it was opened here. */
+export interface QueueStats extends ReturnCounts {
+  readonly service: string;
+  /** Number of waiting requests. */
+  readonly waiting: number;
+  /** Number of granted requests that have not ended. */
+  readonly running: number;
+}
+
 /**
  * Manages the dispatch queues that this member owns. Queue state is not
  * persisted: entries report their running requests periodically, and repeat
@@ -140,12 +150,13 @@
     }
   }
 
-  /** Number of waiting and running requests per queue, for metrics. */
-  queueStats(): {service: string; waiting: number; running: number}[] {
+  /** Figures of each queue, for metrics. */
+  queueStats(): QueueStats[] {
     return [...this.queues].map(([service, queue]) => ({
       service,
       waiting: queue.waitingCount,
       running: queue.runningCount,
+      ...queue.returnCounts,
     }));
   }
 
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -18,9 +18,13 @@
   dispatcher: Dispatcher,
 ): void {
   const {setGauge: gauge} = metrics;
-  for (const {service, waiting, running} of dispatcher.queueStats()) {
-    gauge('queue_waiting', service, waiting);
-    gauge('queue_running', service, running);
+  for (const stats of dispatcher.queueStats()) {
+    const {service} = stats;
+    gauge('queue_waiting', service, stats.waiting);
+    gauge('queue_running', service, stats.running);
+    gauge('queue_told_to_return', service, stats.told);
+    gauge('queue_returned', service, stats.returned);
+    gauge('queue_refused_again', service, stats.refusedAgain);
   }
   gauge('config_version', '', configState.current?.version ?? 0);
   gauge('members_suspected', '', members.suspectedMembers.length);
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -36,6 +36,7 @@
     promptTokens: head.tokens?.prompt ?? 0,
     objectiveLeftMs: Math.round(objectiveLeftMs),
     patienceLeftMs: Math.round(patienceLeftMs),
+    timeLeftMs: Math.round(timer.remainingMs),
     isRepeatable: isRepeatable(route),
     route: route.name,
     account: account?.name ?? null,
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -63,6 +63,7 @@
     outputTokens: COUNT.nullable().catch(null),
     maxEventGapMs: MILLISECONDS.nullable().catch(null),
     promptParts: z.array(PROMPT_PART).max(MAX_PROMPT_PARTS).catch([]),
+    timeLeftMs: MILLISECONDS.nullable().catch(null),
   }),
 });
 
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -102,6 +102,7 @@
           outputTokens: null,
           maxEventGapMs: null,
           promptParts: [],
+          timeLeftMs: null,
         },
       },
     ],
@@ -114,6 +115,12 @@
       'grant request with the hints of a request',
       GRANT_SCHEMA,
       {service: 'app', item: {...ITEM, ...HINTS}},
+      {item: {timeLeftMs: null}},
+    ],
+    [
+      'grant request with the time that its caller has',
+      GRANT_SCHEMA,
+      {service: 'app', item: {...ITEM, ...HINTS, timeLeftMs: 11_900}},
     ],
     [
       'start with all figures of a load',
@@ -250,7 +257,7 @@
 /** Messages in the form that this build sends, by the types of its schemas. */
 const GRANT: z.input<typeof GRANT_SCHEMA> = {
   service: 'app',
-  item: {...ITEM, ...HINTS, requiredVersion: 'v1'},
+  item: {...ITEM, ...HINTS, requiredVersion: 'v1', timeLeftMs: 11_900},
 };
 const GRANTED: z.input<typeof GRANT_ANSWER_SCHEMA> = {
   kind: 'placed',
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -7,7 +7,7 @@
   MAX_REJECTED_SENDS,
   PAUSED_GRANT_DELAY_MS,
 } from './constants.js';
-import {GatewayRefusalError, toGatewayRefusal} from './errors.js';
+import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
 import type {Grant} from './grant.js';
@@ -302,12 +302,7 @@
         this.mayBeginAnywhere = true;
         return this.place();
       }
-      const leftMs = Math.ceil(timer.remainingMs);
-      const retryAfterMs = Math.min(answer.retryAfterMs, leftMs);
-      const reason = toGatewayRefusal(answer.reason);
-      return this.refusals.unlessRun(
-        new GatewayRefusalError(reason, retryAfterMs),
-      );
+      return this.refusals.fromQueue(answer);
     }
     const {requestId: grantId} = head;
     const grant = {...answer.placement, grantId, confirmedVersion: null};
--- a/packages/gateway/src/run_refusal.ts
+++ b/packages/gateway/src/run_refusal.ts
@@ -1,8 +1,22 @@
+import type {QueueRefusal} from '@fescuespool/scheduling';
 import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import {GATEWAY_REFUSAL} from './constants.js';
-import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
+import {
+  createStoppingRefusal,
+  GatewayRefusalError,
+  toGatewayRefusal,
+} from './errors.js';
 import type {RequestTimer} from './request_timer.js';
 
+/** Share of the time that they have left for which callers wait to come back. */
+const RETRY_AFTER_SHARE = 1 / 3;
+
+/** What a queue tells of a request that it refuses. */
+interface QueueRefused {
+  readonly reason: QueueRefusal;
+  readonly retryAfterMs: number;
+}
+
 /** Refusals of one request, which say that it did not run only if that is true. */
 export class RunRefusals {
   constructor(
@@ -16,6 +30,15 @@
     return this.hasNotRun() ? refusal : this.upstreamFailed();
   }
 
+  /** A refusal by the queue, with a Retry-After for which callers wait. */
+  fromQueue({reason, retryAfterMs}: QueueRefused): GatewayRefusalError {
+    const honouredMs = Math.floor(RETRY_AFTER_SHARE * this.timer.remainingMs);
+    const afterMs = Math.max(0, Math.min(retryAfterMs, honouredMs));
+    return this.unlessRun(
+      new GatewayRefusalError(toGatewayRefusal(reason), afterMs),
+    );
+  }
+
   /** A refusal as the request can't end before the gateway does. */
   tooLate(): GatewayRefusalError {
     return this.unlessRun(createStoppingRefusal());
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,30 +1,26 @@
-import {LRUCache} from 'lru-cache';
 import {BrittleGuard} from './brittle_guard.js';
 import {
   ENTRY_TIMEOUT_MS,
-  MAX_REFUSED_FINGERPRINTS,
-  MAX_RETRY_AFTER_MS,
-  MAX_WAITING,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
   PLACEMENT_WINDOW,
   QUEUE_REFUSAL,
-  REFUSED_FINGERPRINT_TTL_MS,
   RUN_END,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
-import {hasRequiredVersion, lackOf} from './required_version.js';
-import {retryAfterMs} from './retry_after.js';
+import {AccountShares} from './fairness/account_shares.js';
+import {RefusalPolicy} from './refusals/refusal_policy.js';
+import type {ReturnCounts} from './refusals/return_ledger.js';
+import {hasRequiredVersion} from './required_version.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
   EndReport,
   GrantRequest,
   QueueAnswer,
-  QueueRefusal,
   StartReport,
   UpstreamSpec,
 } from './types.js';
@@ -58,12 +54,15 @@
   private readonly latency = new LatencyEstimator();
   private readonly chooser: UpstreamChooser;
   private readonly entryMonitor = new EntryMonitor();
-  /** Fingerprints of refused requests that their callers may repeat. */
-  private readonly refusedFingerprints = new LRUCache<string, true>({
-    max: MAX_REFUSED_FINGERPRINTS,
-    ttl: REFUSED_FINGERPRINT_TTL_MS,
+  private readonly shares = new AccountShares();
+  private readonly refusals = new RefusalPolicy({
+    waiting: this.waiting,
+    ratesAt: nowMs => this.rateEstimator(nowMs),
+    staying: () => this.staying,
+    onRefused: ({isRetry}) => {
+      if (isRetry) this.options.retryBudget.giveBack();
+    },
   });
-
   private readonly brittleGuard: BrittleGuard;
 
   constructor(private readonly options: DispatchQueueOptions) {
@@ -86,6 +85,11 @@
     return this.waiting.size;
   }
 
+  /** What became of callers that were told to come back. */
+  get returnCounts(): ReturnCounts {
+    return this.refusals.returnCounts;
+  }
+
   /** Number of granted requests that have not ended. */
   get runningCount(): number {
     let count = 0;
@@ -106,27 +110,11 @@
       });
       return;
     }
-    const minStartMs = this.latency.minStartMs(
-      this.upstreams.values(),
-      request.promptTokens,
-    );
-    const wasRefused = this.refusedFingerprints.has(request.fingerprint);
-    const waiting = {
-      request,
-      answer,
-      arrivedAtMs: now,
-      objectiveAtMs: now + request.objectiveLeftMs,
-      // Placed later, the request could not start while its caller waits.
-      placementDeadlineMs: now + request.patienceLeftMs - minStartMs,
-      wasRefused,
-      // The objective counts from the caller's first attempt.
-      isLate: wasRefused,
-    };
-    const refusal = this.admit(waiting, now);
-    if (refusal) {
-      this.refuse(waiting, refusal);
-      return;
-    }
+    const idleStartMs = this.idleStartMs(request.promptTokens);
+    const waiting = this.refusals.receive(request, answer, idleStartMs, now);
+    this.shares.recordWanted(request, now);
+    waiting.shareLevel = this.shares.levelOf(request, now);
+    if (!this.refusals.admit(waiting, now)) return;
     this.waiting.add(waiting);
     this.placeWaiting();
   }
@@ -144,6 +132,8 @@
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       this.latency.observeStart(state, run.promptTokens, report.startMs);
+      const idleStartMs = this.idleStartMs(run.promptTokens);
+      this.refusals.recordStart(idleStartMs, report.startMs);
       state.recordStart(report.requestId, report.load, now);
       return;
     }
@@ -229,7 +219,10 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
-    if (this.waiting.size > 0) this.refuseUnplaceable(now);
+    if (this.waiting.size > 0) {
+      this.waiting.updateShareLevels(req => this.shares.levelOf(req, now));
+      this.refusals.refuseUnplaceable(now);
+    }
     this.entryMonitor.dropRuns(
       this.upstreams.values(),
       now,
@@ -248,63 +241,15 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  /** Refuses requests that can't start in time, or that nothing can serve. */
-  private refuseUnplaceable(now: number): void {
-    const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
-    const {staying} = this;
-    const unplaceable = this.waiting.takeUnplaceable(
-      now,
-      this.rateEstimator(now),
-    );
-    const unserved = this.waiting.takeWhere(
-      ({request}) => lackOf(request, staying) !== null,
-    );
-    for (const waiting of [...unserved, ...unplaceable]) {
-      const isExpired = waiting.placementDeadlineMs <= now;
-      const reason = isExpired ? EXPIRED : OVERLOADED;
-      this.refuse(waiting, lackOf(waiting.request, staying) ?? reason);
-    }
-  }
-
   /** Upstreams that are not leaving. */
   private get staying(): UpstreamSpec[] {
     const specs = [...this.upstreams.values()].map(({spec}) => spec);
     return specs.filter(({isLeaving}) => !isLeaving);
   }
 
-  /** Reason to refuse a new request, or null if it may be queued. */
-  private admit(waiting: WaitingRequest, now: number): QueueRefusal | null {
-    const {request, placementDeadlineMs} = waiting;
-    const lack = lackOf(request, this.staying);
-    if (lack) return lack;
-    if (placementDeadlineMs <= now) return QUEUE_REFUSAL.EXPIRED;
-    if (this.waiting.size >= MAX_WAITING) {
-      const last = this.waiting.takeLastBelowTier(request.tier);
-      if (!last) return QUEUE_REFUSAL.OVERLOADED;
-      this.refuse(last, QUEUE_REFUSAL.OVERLOADED);
-    }
-    const rates = this.rateEstimator(now);
-    const placedAtMs = now + this.expectedWaitMs(waiting, rates);
-    return placedAtMs > placementDeadlineMs ? QUEUE_REFUSAL.OVERLOADED : null;
-  }
-
-  /** Refuses a request and remembers its fingerprint, in case it is repeated. */
-  private refuse(waiting: WaitingRequest, reason: QueueRefusal): void {
-    const rates = this.rateEstimator(this.options.nowMs());
-    const waitMs = this.expectedWaitMs(waiting, rates);
-    const {request, answer} = waiting;
-    const afterMs = retryAfterMs(waitMs, rates.rateFor(request));
-    if (request.isRetry) this.options.retryBudget.giveBack();
-    this.refusedFingerprints.set(request.fingerprint, true);
-    answer({kind: 'refused', reason, retryAfterMs: afterMs});
-  }
-
-  /** Expected milliseconds until the requests ahead of this one are placed. */
-  private expectedWaitMs(
-    waiting: WaitingRequest,
-    rates: RateEstimator,
-  ): number {
-    return this.waiting.expectedWaitMs(waiting, rates, MAX_RETRY_AFTER_MS);
+  /** Expected milliseconds to the first byte on the fastest idle upstream. */
+  private idleStartMs(promptTokens: number): number {
+    return this.latency.minStartMs(this.upstreams.values(), promptTokens);
   }
 
   private rateEstimator(now: number): RateEstimator {
@@ -369,6 +314,9 @@
   ): void {
     const {request} = waiting;
     const {rateLimiter} = this.options;
+    if (this.waiting.hasOtherAccount(request)) {
+      this.shares.recordContested(request, now);
+    }
     const freeSlots = state.freeSlots(now);
     rateLimiter.take(state.spec, now);
     state.runs.set(request.requestId, {
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -49,6 +49,7 @@
     promptTokens: 0,
     objectiveLeftMs: 1_000,
     patienceLeftMs: 4_000,
+    timeLeftMs: null,
     isRepeatable: true,
     isRetry: false,
     excluded: [],
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -22,6 +22,8 @@
   readonly objectiveLeftMs: number;
   /** Milliseconds left until the caller stops waiting for the first byte. */
   readonly patienceLeftMs: number;
+  /** Milliseconds left of its time limit; null from gateways that don't tell. */
+  readonly timeLeftMs: number | null;
   /** Whether the request may safely run more than once. */
   readonly isRepeatable: boolean;
   /** Whether an earlier send of this request may have reached an upstream. */
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -1,10 +1,12 @@
 import type {RateEstimator} from './placement_rate.js';
 import {AheadCounter} from './placement_rate.js';
+import type {GrantRequest} from './types.js';
 import type {WaitingRequest} from './waiting_request.js';
 
 /**
  * Orders requests by tier, then streams that have begun first, which can use few
- * upstreams, then those that can meet their objective, then those that were
+ * upstreams, then those of accounts within their share, then those to which room
+ * was promised, then those that can meet their objective, then those that were
  * refused before, then by the earliest objective or, where late, the earliest
  * placement deadline.
  */
@@ -12,6 +14,8 @@
   if (a.request.tier !== b.request.tier) return a.request.tier - b.request.tier;
   const isBound = isBoundToVersion(a);
   if (isBound !== isBoundToVersion(b)) return isBound ? -1 : 1;
+  if (a.shareLevel !== b.shareLevel) return a.shareLevel - b.shareLevel;
+  if (a.isPromised !== b.isPromised) return a.isPromised ? -1 : 1;
   if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
   if (a.wasRefused !== b.wasRefused) return a.wasRefused ? -1 : 1;
   if (a.isLate) return a.placementDeadlineMs - b.placementDeadlineMs;
@@ -114,14 +118,40 @@
     return taken;
   }
 
-  /** Removes and returns the last request if its tier number is above `tier`. */
-  takeLastBelowTier(tier: number): WaitingRequest | null {
+  /**
+   * Removes and returns the last request if it is of a lower tier than the given
+   * one, or of the same tier and room was promised to the given one alone.
+   */
+  takeLastBehind({request, isPromised}: WaitingRequest): WaitingRequest | null {
     const last = this.requests.at(-1);
-    if (!last || last.request.tier <= tier) return null;
+    if (!last || last.request.tier < request.tier) return null;
+    const isSameTier = last.request.tier === request.tier;
+    if (isSameTier && (last.isPromised || !isPromised)) return null;
     this.remove(last.request.requestId);
     return last;
   }
 
+  /** Whether a request of another client account waits in the same tier. */
+  hasOtherAccount({tier, account}: GrantRequest): boolean {
+    for (const {request} of this.requests) {
+      if (request.tier > tier) return false;
+      if (request.tier === tier && request.account !== account) return true;
+    }
+    return false;
+  }
+
+  /** Puts the requests in order anew, as their accounts' use has changed. */
+  updateShareLevels(levelOf: (request: GrantRequest) => number): void {
+    let hasChanged = false;
+    for (const waiting of this.requests) {
+      const level = levelOf(waiting.request);
+      if (level === waiting.shareLevel) continue;
+      waiting.shareLevel = level;
+      hasChanged = true;
+    }
+    if (hasChanged) this.requests.sort(compare);
+  }
+
   /**
    * Removes and returns the requests that will miss their placement deadline at
    * the given rates.
--- a/packages/scheduling/src/waiting_request.ts
+++ b/packages/scheduling/src/waiting_request.ts
@@ -10,8 +10,12 @@
   readonly objectiveAtMs: number;
   /** Latest placement that lets it start before the caller stops waiting. */
   readonly placementDeadlineMs: number;
-  /** Whether a request with the same fingerprint was refused recently. */
+  /** Whether its caller was refused before and came back when told to. */
   readonly wasRefused: boolean;
+  /** Whether room was promised to it when it was refused. */
+  readonly isPromised: boolean;
+  /** How far its client account is over its share of the room; 0 if not. */
+  shareLevel: number;
   /** Whether the request can no longer meet its objective. */
   isLate: boolean;
 }
