--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -21,6 +21,9 @@
   for (const {service, ...stats} of dispatcher.queueStats()) {
     gauge('queue_waiting', service, stats.waiting);
     gauge('queue_running', service, stats.running);
+    gauge('queue_told_to_return', service, stats.told);
+    gauge('queue_returned', service, stats.returned);
+    gauge('queue_refused_again', service, stats.refusedAgain);
     gauge('prompt_parts_held', service, stats.heldParts);
     gauge('prompt_tokens_disproved', service, stats.disprovedTokens);
   }
--- a/packages/scheduling/src/queue_stats.ts
+++ b/packages/scheduling/src/queue_stats.ts
@@ -1,7 +1,8 @@
 import type {DispatchQueue} from './dispatch_queue.js';
+import type {ReturnCounts} from './refusals/return_ledger.js';
 
 /** Present figures of a queue, for metrics. */
-export interface QueueStats {
+export interface QueueStats extends ReturnCounts {
   readonly waiting: number;
   /** Granted requests that have not ended. */
   readonly running: number;
@@ -16,6 +17,7 @@
   waitingCount,
   upstreams,
   prefixes,
+  returnCounts,
 }: DispatchQueue): QueueStats {
   let running = 0;
   let heldParts = 0;
@@ -24,5 +26,11 @@
     heldParts += prefixes.partCount(state);
   }
   const {disprovedTokens} = prefixes;
-  return {waiting: waitingCount, running, heldParts, disprovedTokens};
+  return {
+    ...returnCounts,
+    waiting: waitingCount,
+    running,
+    heldParts,
+    disprovedTokens,
+  };
 }
