Refuse late requests as soon as new ones of their tier take the room

A late request goes behind the new ones of its tier, but its expected wait counted only those that waited at that moment. At a service with one tier and 1.5 times its room, late requests were therefore held for 950 of the 1,200 ms that their callers had, and were told to come back with nothing left. The forecast now takes the admitted arrivals of its own tier off the rate for requests that yield to them, and counts admitted requests alone, since refused ones take no room.

--- a/packages/scheduling/src/refusals/arrival_rates.ts
+++ b/packages/scheduling/src/refusals/arrival_rates.ts
@@ -10,11 +10,11 @@
   countedAtMs: number;
 }
 
-/** Counts arrivals by tier, as those of higher tiers go before all that wait. */
+/** Counts admitted requests by tier, as later ones may go before one that waits. */
 export class ArrivalRates {
   private readonly tiers = new Map<number, TierArrivals>();
 
-  /** Counts a request that wants room. */
+  /** Counts a request that was admitted. */
   record(tier: number, nowMs: number): void {
     const arrivals = this.tiers.get(tier);
     if (arrivals) {
--- a/packages/scheduling/src/refusals/refusal_policy.ts
+++ b/packages/scheduling/src/refusals/refusal_policy.ts
@@ -15,7 +15,8 @@
 import {ReturnLedger} from './return_ledger.js';
 import {ReturnSchedule} from './return_schedule.js';
 import {StartAllowance} from './start_allowance.js';
-import {ratesBelowArrivals} from './wait_forecast.js';
+import type {RateOf} from './wait_forecast.js';
+import {ratesBesideArrivals} from './wait_forecast.js';
 
 /**
  * Share of the time that a caller has left for which it waits to come back; a
@@ -34,6 +35,13 @@
   readonly onRefused: (request: GrantRequest) => void;
 }
 
+/** Rates at which waiting requests are placed at some moment. */
+interface Rates {
+  readonly rateOf: RateOf;
+  /** Whether they may differ by the gateway of the request. */
+  readonly differsByGateway: boolean;
+}
+
 /**
  * Decides which requests are refused, and when their callers are to come back. A
  * caller that comes back when it was told to goes before the new requests of its
@@ -53,7 +61,7 @@
   }
 
   /**
-   * Counts an arriving request and recognises one that was refused before;
+   * Takes up an arriving request and recognises one that was refused before;
    * `idleStartMs` is its time to the first byte on the fastest upstream.
    */
   receive(
@@ -64,7 +72,6 @@
   ): WaitingRequest {
     const {patienceLeftMs} = request;
     const startMs = this.allowance.allowanceMs(idleStartMs, patienceLeftMs);
-    this.arrivals.record(request.tier, nowMs);
     const told = this.returns.takeKept(request.fingerprint, nowMs);
     const ownObjectiveAtMs = nowMs + request.objectiveLeftMs;
     // The objective counts from the caller's first attempt.
@@ -95,8 +102,12 @@
   admit(waiting: WaitingRequest, nowMs: number): boolean {
     const rates = this.ratesAt(nowMs);
     const reason = this.reasonToRefuse(waiting, rates, nowMs);
-    if (reason) this.refuse(waiting, reason, rates, nowMs);
-    return reason === null;
+    if (reason) {
+      this.refuse(waiting, reason, rates, nowMs);
+      return false;
+    }
+    this.arrivals.record(waiting.request.tier, nowMs);
+    return true;
   }
 
   /** Refuses requests that can't start in time, or that nothing can serve. */
@@ -105,7 +116,7 @@
     const {waiting: list} = this.context;
     const staying = this.context.staying();
     const rates = this.ratesAt(nowMs);
-    const unplaceable = list.takeUnplaceable(nowMs, rates);
+    const unplaceable = list.takeUnplaceable(nowMs, rates.rateOf);
     const unserved = list.takeWhere(
       ({request}) => lackOf(request, staying) !== null,
     );
@@ -119,7 +130,7 @@
 
   private reasonToRefuse(
     waiting: WaitingRequest,
-    rates: RateEstimator,
+    rates: Rates,
     nowMs: number,
   ): QueueRefusal | null {
     const {request, placementDeadlineMs} = waiting;
@@ -140,12 +151,12 @@
   private refuse(
     waiting: WaitingRequest,
     reason: QueueRefusal,
-    rates: RateEstimator,
+    rates: Rates,
     nowMs: number,
   ): void {
     const {request, answer, objectiveAtMs} = waiting;
     const {tier, fingerprint, timeLeftMs, isRetry} = request;
-    const rate = rates.rateFor(request);
+    const rate = rates.rateOf(waiting);
     const earliestMs = retryAfterMs(this.expectedWaitMs(waiting, rates), rate);
     const latestMs =
       timeLeftMs === null ? MAX_RETRY_AFTER_MS : HONOURED_SHARE * timeLeftMs;
@@ -168,22 +179,18 @@
   }
 
   /** Expected milliseconds until the requests ahead of this one are placed. */
-  private expectedWaitMs(
-    waiting: WaitingRequest,
-    rates: RateEstimator,
-  ): number {
+  private expectedWaitMs(waiting: WaitingRequest, rates: Rates): number {
     return this.context.waiting.expectedWaitMs(
       waiting,
-      rates,
+      rates.rateOf,
+      rates.differsByGateway,
       MAX_RETRY_AFTER_MS,
     );
   }
 
-  private ratesAt(nowMs: number): RateEstimator {
-    return ratesBelowArrivals(
-      this.context.ratesAt(nowMs),
-      this.arrivals,
-      nowMs,
-    );
+  private ratesAt(nowMs: number): Rates {
+    const rates = this.context.ratesAt(nowMs);
+    const rateOf = ratesBesideArrivals(rates, this.arrivals, nowMs);
+    return {rateOf, differsByGateway: rates.differsByGateway};
   }
 }
--- a/packages/scheduling/src/refusals/refusals.test.ts
+++ b/packages/scheduling/src/refusals/refusals.test.ts
@@ -49,35 +49,62 @@
 }
 
 describe('requests that the queue refuses', () => {
-  describe('while requests of a higher tier go on arriving', () => {
-    it('are refused at once, not after they have waited for nothing', () => {
-      const day = new Day();
-      let refusedAfterMs: number[] = [];
-      const openedAt = new Map<string, number>();
-      for (let step = 0; step < 160; step++) {
-        // The higher tier takes 38 of the 40 places in a second.
+  /** Plays arrivals; milliseconds after which the watched ones were refused. */
+  function playHolds(
+    day: Day,
+    arrive: (step: number) => void,
+    watched: string,
+  ): number[] {
+    let heldMs: number[] = [];
+    const openedAt = new Map<string, number>();
+    for (let step = 0; step < 200; step++) {
+      arrive(step);
+      openedAt.set(`${watched}-${step}`, day.nowMs);
+      day.advance(50);
+      for (const [id, atMs] of openedAt) {
+        if (!day.harness.answers.has(id)) continue;
+        openedAt.delete(id);
+        if (day.harness.refusalOf(id)) heldMs.push(day.nowMs - atMs);
+      }
+      // The queue has learnt how long runs take.
+      if (step === 60) heldMs = [];
+    }
+    return heldMs.sort((a, b) => a - b);
+  }
+
+  it('are refused at once while higher tiers take nearly all room', () => {
+    const day = new Day();
+    const heldMs = playHolds(
+      day,
+      step => {
+        // 38 of the 40 places in a second.
         for (let i = 0; i < 2; i++) {
           if ((step * 2 + i) % 20 !== 0)
             day.submit(`high-${step}-${i}`, {tier: 0});
         }
-        const id = `low-${step}`;
-        openedAt.set(id, day.nowMs);
-        day.submit(id, {tier: 1, patienceLeftMs: 1_000});
-        day.advance(50);
-        for (const [low, atMs] of openedAt) {
-          if (!day.harness.answers.has(low)) continue;
-          openedAt.delete(low);
-          if (day.harness.refusalOf(low)) refusedAfterMs.push(day.nowMs - atMs);
-        }
-        // The queue has learnt how long runs take.
-        if (step === 60) refusedAfterMs = [];
-      }
-      expect(refusedAfterMs.length).toBeGreaterThan(50);
-      const atOnce = refusedAfterMs.filter(ms => ms <= 100).length;
-      expect(atOnce / refusedAfterMs.length).toBeGreaterThan(0.7);
-      // Nobody is held for more than half of its patience to be refused.
-      expect(Math.max(...refusedAfterMs)).toBeLessThanOrEqual(500);
-    });
+        day.submit(`low-${step}`, {tier: 1, patienceLeftMs: 1_000});
+      },
+      'low',
+    );
+    expect(heldMs.length).toBeGreaterThan(50);
+    expect(heldMs[Math.floor(0.7 * heldMs.length)]).toBeLessThanOrEqual(100);
+    // Nobody is held for more than half of its patience to be refused.
+    expect(heldMs.at(-1)).toBeLessThanOrEqual(500);
+  });
+
+  it('are refused soon where new ones of their tier go before late ones', () => {
+    const day = new Day();
+    const limits = {objectiveLeftMs: 180, patienceLeftMs: 1_200};
+    const heldMs = playHolds(
+      day,
+      step => {
+        for (const name of ['a', 'b', 'c'])
+          day.submit(`${name}-${step}`, limits);
+      },
+      'c',
+    );
+    expect(heldMs.length).toBeGreaterThan(30);
+    expect(heldMs.at(-1)).toBeLessThanOrEqual(600);
   });
 
   describe('and that come back', () => {
--- a/packages/scheduling/src/waiting_list.ts
+++ b/packages/scheduling/src/waiting_list.ts
@@ -1,4 +1,4 @@
-import type {RateEstimator} from './placement_rate.js';
+import type {PlacementRate} from './placement_rate.js';
 import {AheadCounter} from './placement_rate.js';
 import type {GrantRequest} from './types.js';
 import type {WaitingRequest} from './waiting_request.js';
@@ -97,7 +97,8 @@
    */
   expectedWaitMs(
     waiting: WaitingRequest,
-    {rateFor, differsByGateway}: RateEstimator,
+    rateOf: (waiting: WaitingRequest) => PlacementRate,
+    differsByGateway: boolean,
     unknownWaitMs: number,
   ): number {
     const index = this.insertionIndexOf(waiting);
@@ -106,9 +107,9 @@
     else
       this.requests
         .slice(0, index)
-        .forEach(ahead => counter.add(ahead.request, rateFor(ahead.request)));
+        .forEach(ahead => counter.add(ahead.request, rateOf(ahead)));
     const {request} = waiting;
-    return counter.waitMs(request, rateFor(request), unknownWaitMs);
+    return counter.waitMs(request, rateOf(waiting), unknownWaitMs);
   }
 
   /** Removes and returns the requests that meet a condition. */
@@ -156,12 +157,15 @@
    * Removes and returns the requests that will miss their placement deadline at
    * the given rates.
    */
-  takeUnplaceable(nowMs: number, {rateFor}: RateEstimator): WaitingRequest[] {
+  takeUnplaceable(
+    nowMs: number,
+    rateOf: (waiting: WaitingRequest) => PlacementRate,
+  ): WaitingRequest[] {
     const unplaceable: WaitingRequest[] = [];
     const counter = new AheadCounter();
     for (const waiting of this.requests) {
       const {request, placementDeadlineMs} = waiting;
-      const rate = rateFor(request);
+      const rate = rateOf(waiting);
       const waitMs = counter.waitMs(request, rate, 0);
       if (nowMs + waitMs < placementDeadlineMs) counter.add(request, rate);
       else unplaceable.push(waiting);
