Tell where a request would go now, without sending it

Cause: operators could explain a request only after it had ended, from logs; nothing told where one would go, at what cost, or why it would wait.

Change: `fescuespool where HOST PATH` posts the question to a gateway's metrics port (`/where`). The gateway admits it as it would a request, and asks the owner of each target's queue by `gateway.preview`, which plays the chooser on the present state: outcome, reason, expected wait, and each upstream with cost, start, held tokens and what keeps the request from it. No queue is opened, no quota charged, nothing is logged but faults; the key is neither printed nor logged. RefusalPolicy.forecast says what admission would do. An owner of an earlier build answers that it has no such method, which the command shows.

--- a/packages/cli/src/base_command.ts
+++ b/packages/cli/src/base_command.ts
@@ -8,7 +8,7 @@
 /** Connection options and output shared by commands that call a daemon. */
 export abstract class BaseCommand extends Command {
   url = Option.String('--url', {
-    description: `URL of a daemon's operator port (or ${ENV.URL})`,
+    description: `URL of a daemon's operator port, or of a gateway's metrics port (or ${ENV.URL})`,
   });
   token = Option.String('--token', {
     description: `operator token (or ${ENV.TOKEN})`,
@@ -20,6 +20,9 @@
     description: 'print JSON instead of a table',
   });
 
+  /** URL that is called where none is given. */
+  protected readonly defaultUrl: string = DEFAULT_URL;
+
   /** Runs the command; throws a CliError on failure. */
   abstract run(): Promise<void>;
 
@@ -42,7 +45,7 @@
     body?: unknown,
   ): Promise<OperatorResponse['body']> {
     const target = {
-      url: this.url ?? process.env[ENV.URL] ?? DEFAULT_URL,
+      url: this.url ?? process.env[ENV.URL] ?? this.defaultUrl,
       token: this.token ?? process.env[ENV.TOKEN] ?? null,
       caFile: this.ca ?? null,
     };
--- a/packages/cli/src/constants.ts
+++ b/packages/cli/src/constants.ts
@@ -29,5 +29,8 @@
 /** URL of the operator port of a daemon on this VM. */
 export const DEFAULT_URL = 'http://127.0.0.1:7081';
 
+/** URL of the metrics port of a gateway on this VM. */
+export const GATEWAY_METRICS_URL = 'http://127.0.0.1:9464';
+
 /** Time in milliseconds without data after which a call is aborted. */
 export const IDLE_TIMEOUT_MS = 15_000;
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -16,6 +16,7 @@
   TraceCommand,
   UpstreamsCommand,
 } from './status_commands.js';
+import {WhereCommand} from './where_command.js';
 
 const cli = new Cli({
   binaryLabel: 'fescuespool',
@@ -35,6 +36,7 @@
   TraceCommand,
   DrainCommand,
   ExplainCommand,
+  WhereCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ]) {
--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -67,8 +67,8 @@
     const reason = e instanceof Error ? e.message : String(e);
     throw new CliError(
       EXIT_CODE.UNREACHABLE,
-      `no response from ${target.url} (${reason}); is the daemon running, and ` +
-        'is --url its operator port?',
+      `no response from ${target.url} (${reason}); is the daemon or gateway ` +
+        'running, and is --url its operator or metrics port?',
     );
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -83,6 +83,7 @@
   STREAM_BEGAN: 'gateway.stream_began',
   STREAM_ORIGIN: 'gateway.stream_origin',
   UPSTREAM_NOTICE: 'gateway.upstream_notice',
+  PREVIEW: 'gateway.preview',
 } as const;
 
 /** Interval in milliseconds at which a member asks another for crash causes. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -4,6 +4,7 @@
   EndReport,
   GrantRequest,
   QueueAnswer,
+  QueuePreview,
   QueueStats,
   RetryBudgetBounds,
   StartReport,
@@ -67,6 +68,12 @@
     );
   }
 
+  /** Where a request would go now; opens no queue and changes none. */
+  preview(service: string, request: GrantRequest): QueuePreview {
+    const queue = this.queues.get(service) ?? this.createQueue(service);
+    return queue.preview(request);
+  }
+
   /** Removes a waiting request from its queue without answering it. */
   cancel(service: string, requestId: string): void {
     this.queues.get(service)?.cancel(requestId);
@@ -160,6 +167,14 @@
   private queueFor(service: string): DispatchQueue {
     const existing = this.queues.get(service);
     if (existing) return existing;
+    const queue = this.createQueue(service);
+    this.queues.set(service, queue);
+    if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
+    this.log.info('queue_opened', {service});
+    return queue;
+  }
+
+  private createQueue(service: string): DispatchQueue {
     const queue = new DispatchQueue({
       nowMs: this.clock.monotonicMs,
       retryBudget: new RetryBudget(this.retryBudgetBounds),
@@ -167,9 +182,6 @@
       mayHaveOtherOwner: this.hasSuspects,
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
-    this.queues.set(service, queue);
-    if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
-    this.log.info('queue_opened', {service});
     return queue;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,6 @@
 import type {UpstreamsByService} from './dispatcher.js';
 import {Dispatcher} from './dispatcher.js';
 import type {GatewayContext} from './gateway_context.js';
-import {updateGauges} from './gateway_gauges.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
@@ -26,13 +25,14 @@
 import {MemberDirectory} from './member_directory.js';
 import {OriginHistory} from './origin_history.js';
 import {NeighbourNotices} from './neighbour_notices.js';
+import {createOperatorServer} from './operator_server.js';
 import {createPeerHandlers} from './peer_handlers.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
 import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
 import {ResponseBudget} from './response_budget.js';
 import {StartupGate} from './startup_gate.js';
-import {createMetricsServer, createReadinessServer} from './status_servers.js';
+import {createReadinessServer} from './status_servers.js';
 import {StopGate} from './stop_gate.js';
 import {RunTimes} from './stop_policy.js';
 import {StreamArchive} from './stream_archive.js';
@@ -233,8 +233,10 @@
       () => this.isReady,
       isReady => this.logReadiness(isReady),
     );
-    this.metricsServer = createMetricsServer(this.metrics, () =>
-      updateGauges(this.context, this.dispatcher),
+    this.metricsServer = createOperatorServer(
+      this.context,
+      this.dispatcher,
+      network,
     );
   }
 
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -3,6 +3,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {OpenRequest} from './open_request.js';
 import {callerPatienceMs, isRepeatable} from './open_request.js';
+import type {RequestTimer} from './request_timer.js';
 import type {StreamProgress} from './stream_relay.js';
 
 /** What earlier sends of a request leave to its next one. */
@@ -11,11 +12,17 @@
   'isRetry' | 'excluded' | 'avoidedZones' | 'requiredVersion'
 >;
 
+/** What a grant request tells of the request that it is for. */
+type GrantedRequest = Pick<
+  OpenRequest,
+  'admission' | 'head' | 'fingerprint'
+> & {readonly timer: Pick<RequestTimer, 'elapsedMs' | 'remainingMs'>};
+
 /** Creates what is sent to the owner of a queue for an upstream. */
 export function createGrantRequest(
   gateway: GatewayContext,
-  {admission, timer, head, fingerprint}: OpenRequest,
-  {hasSentHead}: StreamProgress,
+  {admission, timer, head, fingerprint}: GrantedRequest,
+  {hasSentHead}: Pick<StreamProgress, 'hasSentHead'>,
   history: SendHistory,
 ): GrantRequest {
   const {route, account} = admission;
@@ -51,9 +58,12 @@
 /** The version at which a request's stream has to begin; null if any will do. */
 export function versionToBegin(
   {upstreams}: GatewayContext,
-  {admission}: OpenRequest,
+  {admission}: Pick<OpenRequest, 'admission'>,
   service: string,
-  {softwareVersion, lastEventId}: StreamProgress,
+  {
+    softwareVersion,
+    lastEventId,
+  }: Pick<StreamProgress, 'softwareVersion' | 'lastEventId'>,
 ): string | null {
   const begins = softwareVersion === null && lastEventId === null;
   const isBound = begins && admission.route.isResumable;
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -3,6 +3,9 @@
   MAX_LIMITED_UPSTREAMS,
   MAX_PAUSE_MS,
   MAX_PAUSED_UPSTREAMS,
+  PREVIEW_OBSTACLE,
+  PREVIEW_OUTCOME,
+  PREVIEW_REASON,
   QUEUE_REFUSAL,
   RUN_END,
 } from '@fescuespool/scheduling';
@@ -29,7 +32,10 @@
   })
   .nullable();
 
-const PROMPT_PART = z.object({id: ID, tokens: COUNT});
+/** Parts of a prompt in order. */
+export const PROMPT_PARTS = z
+  .array(z.object({id: ID, tokens: COUNT}))
+  .max(MAX_PROMPT_PARTS);
 
 /** A reason that only a later build knows is still a refusal. */
 const REFUSAL_REASON = z
@@ -62,7 +68,7 @@
     accountQuotaPerS: z.number().positive().nullable().catch(null),
     outputTokens: COUNT.nullable().catch(null),
     maxEventGapMs: MILLISECONDS.nullable().catch(null),
-    promptParts: z.array(PROMPT_PART).max(MAX_PROMPT_PARTS).catch([]),
+    promptParts: PROMPT_PARTS.catch([]),
     timeLeftMs: MILLISECONDS.nullable().catch(null),
   }),
 });
@@ -99,6 +105,32 @@
   z.object({kind: z.literal('moved')}),
 ]);
 
+/** Most upstreams that are read of a preview. */
+const MAX_PREVIEWED = 256;
+
+/** Answer to the question where a request would go now. */
+export const QUEUE_PREVIEW_SCHEMA = z.object({
+  outcome: z.enum(PREVIEW_OUTCOME),
+  reason: z.enum({...PREVIEW_REASON, ...QUEUE_REFUSAL}),
+  chosen: ID.nullable(),
+  expectedWaitMs: MILLISECONDS,
+  waiting: COUNT,
+  upstreamCount: COUNT,
+  upstreams: z
+    .array(
+      z.object({
+        instanceId: ID,
+        zone: ID,
+        obstacle: z.enum(PREVIEW_OBSTACLE).nullable(),
+        startMs: MILLISECONDS,
+        costMs: MILLISECONDS,
+        heldTokens: COUNT,
+        freeSlots: z.number(),
+      }),
+    )
+    .max(MAX_PREVIEWED),
+});
+
 /** Params that identify one request of a service, used to cancel its wait. */
 export const REQUEST_REF_SCHEMA = z.object({service: ID, requestId: ID});
 
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -17,6 +17,7 @@
   ORIGIN_ANSWER_SCHEMA,
   ORIGIN_SHARED_SCHEMA,
   PARTS_CLEARED_SCHEMA,
+  QUEUE_PREVIEW_SCHEMA,
   REPORT_SCHEMA,
   REQUEST_REF_SCHEMA,
   STARTED_SCHEMA,
@@ -192,6 +193,29 @@
         isLeaving: true,
       },
     ],
+    [
+      'preview of a request',
+      QUEUE_PREVIEW_SCHEMA,
+      {
+        outcome: 'placed',
+        reason: 'cheapest',
+        chosen: 'i-10',
+        expectedWaitMs: 0,
+        waiting: 0,
+        upstreamCount: 1,
+        upstreams: [
+          {
+            instanceId: 'i-10',
+            zone: 'a',
+            obstacle: null,
+            startMs: 60,
+            costMs: 160.5,
+            heldTokens: 800,
+            freeSlots: 4,
+          },
+        ],
+      },
+    ],
     ['moved queue', GRANT_ANSWER_SCHEMA, {kind: 'moved'}],
     ['cancel', REQUEST_REF_SCHEMA, {service: 'app', requestId: 'r-1'}],
     [
--- a/packages/gateway/src/peer_handlers.ts
+++ b/packages/gateway/src/peer_handlers.ts
@@ -50,6 +50,10 @@
         return dispatcher.requestGrant(service, item);
       },
     ),
+    [GATEWAY_METHOD.PREVIEW]: withValidatedParams(
+      GRANT_SCHEMA,
+      ({service, item}) => dispatcher.preview(service, item),
+    ),
     [GATEWAY_METHOD.CANCEL]: withValidatedParams(
       REQUEST_REF_SCHEMA,
       ({service, requestId}) => dispatcher.cancel(service, requestId),
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type {RequestListener} from 'node:http';
 import type {GatewayMetrics} from './gateway_metrics.js';
 
 const OK = 200;
@@ -29,13 +30,19 @@
 
 /**
  * Creates the server of the metrics in the Prometheus text format; `refresh`
- * sets the gauges before each response.
+ * sets the gauges before each response. Paths with a listener are not metrics.
  */
 export function createMetricsServer(
   metrics: GatewayMetrics,
   refresh: () => void,
+  listeners: Readonly<Record<string, RequestListener>> = {},
 ): http.Server {
-  return http.createServer((_req, res) => {
+  return http.createServer((req, res) => {
+    const listener = listeners[req.url ?? ''];
+    if (listener) {
+      listener(req, res);
+      return;
+    }
     refresh();
     void metrics.renderText().then(text => {
       res.writeHead(OK, {'content-type': 'text/plain; version=0.0.4'});
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -12,6 +12,8 @@
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
 import {PromptPrefixes} from './prefix/prompt_prefixes.js';
+import type {QueuePreview} from './preview/queue_preview.js';
+import {previewRequest} from './preview/queue_preview.js';
 import {AccountShares} from './fairness/account_shares.js';
 import {RefusalPolicy} from './refusals/refusal_policy.js';
 import type {ReturnCounts} from './refusals/return_ledger.js';
@@ -117,6 +119,26 @@
     this.placeWaiting();
   }
 
+  /** Where a request would go now, and why; changes nothing. */
+  preview(request: GrantRequest): QueuePreview {
+    const now = this.options.nowMs();
+    const idleStartMs = this.idleStartMs(request.promptTokens);
+    const forecast = this.refusals.forecast(request, idleStartMs, now);
+    const usable = this.usable(now);
+    const free = usable.filter(state => this.hasRoom(state, now));
+    return previewRequest({
+      ...forecast,
+      nowMs: now,
+      states: [...this.upstreams.values()],
+      free,
+      rateLimiter: this.options.rateLimiter,
+      waitingCount: this.waiting.size,
+      choose: asked => this.chooser.choose(asked, usable, free, now),
+      estimate: state => this.chooser.estimateCost(request, state),
+      heldTokens: this.prefixes.heldTokens,
+    });
+  }
+
   /** Removes a waiting request without answering it. */
   cancel(requestId: string): void {
     const waiting = this.waiting.remove(requestId);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,7 @@
 export * from './placement_rate.js';
 export * from './prefix/prefix_cache.js';
 export * from './prefix/prompt_prefixes.js';
+export * from './preview/queue_preview.js';
 export * from './queue_stats.js';
 export * from './refusals/return_ledger.js';
 export * from './rejection_risk.js';
--- a/packages/scheduling/src/refusals/refusal_policy.ts
+++ b/packages/scheduling/src/refusals/refusal_policy.ts
@@ -35,6 +35,15 @@
   readonly onRefused: (request: GrantRequest) => void;
 }
 
+/** What would become of a request that asked for admission now. */
+export interface RefusalForecast {
+  readonly waiting: WaitingRequest;
+  /** Null if it would be admitted. */
+  readonly refusal: QueueRefusal | null;
+  /** Milliseconds until the requests ahead of it are placed. */
+  readonly expectedWaitMs: number;
+}
+
 /** Rates at which waiting requests are placed at some moment. */
 interface Rates {
   readonly rateOf: RateOf;
@@ -90,6 +99,27 @@
     };
   }
 
+  /**
+   * What `receive` and `admit` would do with a request that was not refused before;
+   * changes nothing. In a full list, it does not tell who would give way.
+   */
+  forecast(
+    request: GrantRequest,
+    idleStartMs: number,
+    nowMs: number,
+  ): RefusalForecast {
+    const waiting = this.receive(request, () => undefined, idleStartMs, nowMs);
+    const rates = this.ratesAt(nowMs);
+    const isFull = this.context.waiting.size >= MAX_WAITING;
+    return {
+      waiting,
+      refusal: isFull
+        ? QUEUE_REFUSAL.OVERLOADED
+        : this.reasonToRefuse(waiting, rates, nowMs),
+      expectedWaitMs: this.expectedWaitMs(waiting, rates),
+    };
+  }
+
   /** Adds the time to a first byte; `idleStartMs` is that of `receive`. */
   recordStart(idleStartMs: number, startMs: number): void {
     this.allowance.observe(idleStartMs, startMs);
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -100,7 +100,7 @@
   }
 
   /** Estimates the cost of a request at an upstream in milliseconds. */
-  private estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
+  estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
     const readTokens = request.promptTokens - this.heldTokens(state, request);
     const startMs = this.latency.predictStartMs(state, readTokens);
     const {zone} = state.spec;
