Roll out a software version by the owner of the service's queue

Orders of roll-outs were read by nobody: engines of the target got a full share as soon as they registered. Where the settings bound the exposure, the queue's owner now sends the target a bounded share under permits that it writes to the store, compares its answers with the serving versions' by a sequential test, and completes or rolls back. The record and the operator's status are written in one transaction under a condition; a gateway sends to a target only with the owner's mark in the grant (`isTrial`, false from earlier builds).

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,9 +8,11 @@
   StartReport,
   UpstreamLimits,
   UpstreamSpec,
+  VersionGate,
 } from '@fescuespool/scheduling';
 import {
   DispatchQueue,
+  OPEN_GATE,
   RetryBudget,
   UpstreamPauses,
   UpstreamRateLimiter,
@@ -49,6 +51,9 @@
     private readonly isOwner: (service: string) => boolean,
     /** Whether there are members that this one can't reach. */
     private readonly hasSuspects: () => boolean,
+    /** Decides which versions of a service may get requests. */
+    private readonly versionGateOf: (service: string) => VersionGate = () =>
+      OPEN_GATE,
   ) {
     this.rateLimiter = new UpstreamRateLimiter(upstreamLimits, this.pauses);
   }
@@ -164,6 +169,7 @@
       retryBudget: new RetryBudget(this.retryBudgetBounds),
       rateLimiter: this.rateLimiter,
       mayHaveOtherOwner: this.hasSuspects,
+      versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     this.queues.set(service, queue);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,9 @@
 import {StopGate} from './stop_gate.js';
 import {RunTimes} from './stop_policy.js';
 import {StreamArchive} from './stream_archive.js';
+import type {RolloutStore} from './rollout_store.js';
+import type {Rollouts} from './rollouts.js';
+import {createRollouts} from './rollouts.js';
 import {RouteHistory} from './route_history.js';
 import type {OriginRecord, VersionsByService} from './stream_origin.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
@@ -63,6 +66,8 @@
   readonly connect: ConnectSocket;
   /** Keeps where streams began when all gateways have ended. */
   readonly streamStore: StreamStore;
+  /** Keeps the records of roll-outs; without it there are none. */
+  readonly rolloutStore?: RolloutStore;
 }
 
 /**
@@ -76,6 +81,8 @@
   readonly peers: GatewayPeers;
   /** Where streams can have begun that may still be resumed. */
   readonly originHistory: OriginHistory;
+  /** Roll-outs of software versions. */
+  readonly rollouts: Rollouts;
   private readonly metrics: GatewayMetrics = createGatewayMetrics();
   private readonly network: PeerNetwork;
   private readonly monitor: PeerMonitor;
@@ -111,13 +118,16 @@
     );
     this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
+    const hasSuspects = (): boolean => members.suspectedMembers.length > 0;
+    this.rollouts = createRollouts(options, members, this.upstreams);
     this.dispatcher = new Dispatcher(
       clock,
       log,
       settings.retryBudget,
       this.upstreamLimits,
       key => members.isOwnerOf(key),
-      () => members.suspectedMembers.length > 0,
+      hasSuspects,
+      service => this.rollouts.gateOf(service),
     );
     const dispatchClient = new DispatchClient(
       clock,
@@ -187,6 +197,7 @@
       upstreamPaths,
       confirmedConnections: new ConfirmedConnections(),
       upstreams: this.upstreams,
+      rollouts: this.rollouts,
       upstreamStatements: new UpstreamStatements({
         clock,
         log,
@@ -362,6 +373,7 @@
     this.context.streamOrigins.close();
     this.context.dispatchClient.close();
     this.dispatcher.close();
+    this.rollouts.close();
     this.network.close();
     for (const server of [
       this.callerHttpServer,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -10,6 +10,7 @@
 import type {GatewaySettings} from './settings.js';
 import type {OriginHistory} from './origin_history.js';
 import type {ResponseBudget} from './response_budget.js';
+import type {Rollouts} from './rollouts.js';
 import type {StopGate} from './stop_gate.js';
 import type {RunTimes} from './stop_policy.js';
 import type {StreamArchive} from './stream_archive.js';
@@ -38,6 +39,7 @@
   readonly upstreamPaths: UpstreamPaths;
   readonly confirmedConnections: ConfirmedConnections;
   readonly upstreams: UpstreamRegistry;
+  readonly rollouts: Rollouts;
   readonly upstreamStatements: UpstreamStatements;
   readonly responseBudget: ResponseBudget;
   readonly runTimes: RunTimes;
--- a/packages/gateway/src/grant_check.ts
+++ b/packages/gateway/src/grant_check.ts
@@ -1,4 +1,4 @@
-import type {RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
+import type {Placement, RunEnd, UpstreamSpec} from '@fescuespool/scheduling';
 import {RUN_END} from '@fescuespool/scheduling';
 import type {GatewayContext} from './gateway_context.js';
 import {checkLife} from './upstream_life.js';
@@ -11,6 +11,12 @@
   silent: RUN_END.CANCELLED,
 } as const;
 
+/**
+ * Milliseconds for which an upstream is passed over whose version may not be used:
+ * the owner of the queue may learn later of an order or a verdict.
+ */
+const FORBIDDEN_VERSION_MS = 200;
+
 /** Why a granted upstream may not be used. */
 export interface UnusableGrant {
   /** End to report, with which the grant is returned. */
@@ -24,8 +30,8 @@
  * dispatcher may not know yet; null if it may be used.
  */
 export function checkGrant(
-  upstream: UpstreamSpec,
-  {upstreams, upstreamStatements}: GatewayContext,
+  {upstream, isTrial}: Pick<Placement, 'upstream' | 'isTrial'>,
+  {upstreams, upstreamStatements, rollouts}: GatewayContext,
 ): UnusableGrant | null {
   if (upstreams.isLeaving(upstream)) {
     return {end: RUN_END.LEAVING, pauseLeftMs: 0};
@@ -33,6 +39,10 @@
   if (upstreams.isReplaced(upstream)) {
     return {end: RUN_END.REPLACED, pauseLeftMs: 0};
   }
+  const service = upstreams.serviceOf(upstream.instanceId);
+  if (rollouts.forbids(service, upstream, isTrial)) {
+    return {end: RUN_END.CANCELLED, pauseLeftMs: FORBIDDEN_VERSION_MS};
+  }
   const pauseLeftMs = upstreamStatements.pauseLeftMs(upstream);
   return pauseLeftMs > 0 ? {end: RUN_END.CANCELLED, pauseLeftMs} : null;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,8 @@
 export * from './gateway_metrics.js';
 export * from './gateway_peers.js';
 export * from './member_directory.js';
+export * from './rollout_store.js';
+export type {Rollouts} from './rollouts.js';
 export * from './route_table.js';
 export * from './settings.js';
 export * from './stream_constants.js';
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -85,6 +85,7 @@
       freeSlots: z.number(),
       isOnTrial: z.boolean(),
       rateLimitPerS: z.number().nullable().default(null),
+      isTrial: z.boolean().default(false),
     }),
   }),
   z.object({
--- a/packages/gateway/src/other_upstream.ts
+++ b/packages/gateway/src/other_upstream.ts
@@ -43,19 +43,19 @@
 async function reasonToReturn(
   gateway: GatewayContext,
   id: string,
-  {upstream}: Grant,
+  {upstream, isTrial}: Grant,
   {requiredVersion, excluded}: GrantRequest,
   signal: AbortSignal,
 ): Promise<RunEnd | null> {
   const {instanceId, softwareVersion} = upstream;
   if (excluded.includes(instanceId)) return RUN_END.CANCELLED;
-  const unusable = checkGrant(upstream, gateway);
+  const unusable = checkGrant({upstream, isTrial}, gateway);
   if (unusable) return unusable.end;
   if (requiredVersion === null) return null;
   if (requiredVersion !== softwareVersion) return RUN_END.CANCELLED;
   try {
     const end = await confirmLife(upstream, id, signal, gateway);
-    return end ?? checkGrant(upstream, gateway)?.end ?? null;
+    return end ?? checkGrant({upstream, isTrial}, gateway)?.end ?? null;
   } catch (e) {
     const err = e instanceof Error ? e.message : String(e);
     gateway.log.error('life_check_failed', {upstream: instanceId, err});
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -324,7 +324,7 @@
   /** Returns a grant that may not be used; waits a little if it is paused. */
   private async returnUnusable(placement: Grant): Promise<boolean> {
     const {upstream} = placement;
-    const unusable = checkGrant(upstream, this.gateway);
+    const unusable = checkGrant(placement, this.gateway);
     if (!unusable) return false;
     const {end, pauseLeftMs} = unusable;
     this.returnGrant(placement, end);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 import {LOG_LEVEL} from '@fescuespool/common';
+import {isDeepStrictEqual} from 'node:util';
 import {z} from 'zod';
 import {DEFAULT_MEMORY_LIMIT_MB, RESPONSE_BUDGET_SHARE} from './constants.js';
 
@@ -51,6 +52,17 @@
     ratio: z.number().min(0),
     extra: z.number().min(0),
   }),
+  /** Bounds of roll-outs, summed over all gateways; absent for no roll-outs. */
+  rollout: z
+    .strictObject({
+      /** Share of a service's requests that a bad version may get. */
+      exposeShare: z.number().min(0).max(1),
+      /** Requests that it may get besides. */
+      exposeSlack: z.number().min(0),
+      /** Milliseconds after its bad answers for which it may get requests. */
+      rollbackMs: MILLISECONDS,
+    })
+    .optional(),
   /** Memory in megabytes above which the process is killed. */
   memoryLimitMb: z.number().min(1).default(DEFAULT_MEMORY_LIMIT_MB),
   /** Milliseconds from SIGTERM until the process is killed forcibly. */
@@ -72,6 +84,7 @@
   'tunnelAddress',
   'logLevel',
   'memoryLimitMb',
+  'rollout',
 ] as const;
 
 /** Bytes that all buffered responses may hold together. */
@@ -85,6 +98,6 @@
   settings: GatewaySettings,
 ): string {
   return RESTART_SETTINGS.filter(
-    name => previous[name] !== settings[name],
+    name => !isDeepStrictEqual(previous[name], settings[name]),
   ).join(',');
 }
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -18,6 +18,8 @@
 import {createRateEstimator} from './placement_rate.js';
 import {hasRequiredVersion, lackOf} from './required_version.js';
 import {retryAfterMs} from './retry_after.js';
+import type {VersionGate} from './rollout/index.js';
+import {GatedUpstreams, OPEN_GATE} from './rollout/index.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
@@ -43,6 +45,8 @@
   readonly rateLimiter: UpstreamRateLimiter;
   /** Whether a member that can't be reached may own the queue as well. */
   readonly mayHaveOtherOwner: () => boolean;
+  /** Decides which software versions may get a request; all without it. */
+  readonly versionGate?: () => VersionGate;
 }
 
 /**
@@ -54,6 +58,7 @@
 export class DispatchQueue {
   /** Upstreams of the service by instance id. */
   readonly upstreams = new Map<string, UpstreamState>();
+  private readonly gated: GatedUpstreams;
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
   private readonly chooser: UpstreamChooser;
@@ -68,6 +73,8 @@
 
   constructor(private readonly options: DispatchQueueOptions) {
     const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
+    const {versionGate = () => OPEN_GATE} = options;
+    this.gated = new GatedUpstreams(this.upstreams, versionGate);
     this.chooser = new UpstreamChooser(this.latency, rateLimiter);
     this.brittleGuard = new BrittleGuard(
       rateLimiter,
@@ -155,6 +162,7 @@
    */
   handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
+    this.gated.gate.recordEnd(report, now);
     if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
     let ended: EndedRun | null = null;
     for (const state of this.upstreams.values()) {
@@ -229,6 +237,7 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
+    this.gated.observe(now);
     if (this.waiting.size > 0) this.refuseUnplaceable(now);
     this.entryMonitor.dropRuns(
       this.upstreams.values(),
@@ -251,7 +260,7 @@
   /** Refuses requests that can't start in time, or that nothing can serve. */
   private refuseUnplaceable(now: number): void {
     const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
-    const {staying} = this;
+    const staying = this.gated.staying(now);
     const unplaceable = this.waiting.takeUnplaceable(
       now,
       this.rateEstimator(now),
@@ -266,16 +275,10 @@
     }
   }
 
-  /** Upstreams that are not leaving. */
-  private get staying(): UpstreamSpec[] {
-    const specs = [...this.upstreams.values()].map(({spec}) => spec);
-    return specs.filter(({isLeaving}) => !isLeaving);
-  }
-
   /** Reason to refuse a new request, or null if it may be queued. */
   private admit(waiting: WaitingRequest, now: number): QueueRefusal | null {
     const {request, placementDeadlineMs} = waiting;
-    const lack = lackOf(request, this.staying);
+    const lack = lackOf(request, this.gated.staying(now));
     if (lack) return lack;
     if (placementDeadlineMs <= now) return QUEUE_REFUSAL.EXPIRED;
     if (this.waiting.size >= MAX_WAITING) {
@@ -309,7 +312,7 @@
 
   private rateEstimator(now: number): RateEstimator {
     return createRateEstimator(
-      this.usable(now),
+      this.gated.usable(now),
       this.waiting.requiredVersions,
       this.latency,
       this.options.rateLimiter,
@@ -326,27 +329,25 @@
     );
   }
 
-  private usable(now: number): UpstreamState[] {
-    return [...this.upstreams.values()].filter(state => state.isUsable(now));
-  }
-
   private placeWaiting(): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    const usable = this.usable(now);
+    const {gated} = this;
+    const usable = gated.usableOfAnyVersion(now);
     let free = usable.filter(state => this.hasRoom(state, now));
     if (free.length === 0) return;
     const {rateLimiter} = this.options;
     const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
       free.some(
-        ({spec}) =>
-          hasRequiredVersion(request, spec) &&
-          !rateLimiter.isPausedFor(request, spec, now),
+        state =>
+          hasRequiredVersion(request, state.spec) &&
+          !rateLimiter.isPausedFor(request, state.spec, now) &&
+          gated.mayTake(request, state, now),
       ),
     );
     for (const waiting of waitingRequests) {
       if (free.length === 0) return;
-      const choice = this.chooser.choose(waiting, usable, free, now);
+      const choice = gated.choose(this.chooser, waiting, usable, free, now);
       if (choice === 'late') {
         // It now queues behind its own tier, but still ahead of lower tiers.
         this.waiting.markLate(waiting);
@@ -370,6 +371,7 @@
     const {request} = waiting;
     const {rateLimiter} = this.options;
     const freeSlots = state.freeSlots(now);
+    const isTrial = this.gated.gate.recordGrant(request, state.spec, now);
     rateLimiter.take(state.spec, now);
     state.runs.set(request.requestId, {
       requestId: request.requestId,
@@ -389,6 +391,7 @@
         freeSlots,
         isOnTrial: state.isOnTrial,
         rateLimitPerS: rateLimiter.limitOf(state.spec, now),
+        isTrial,
       },
     });
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -18,3 +18,4 @@
 export * from './upstream_state.js';
 export * from './waiting_list.js';
 export * from './waiting_request.js';
+export * from './rollout/index.js';
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -97,6 +97,11 @@
   readonly isOnTrial: boolean;
   /** Limit of the upstream in requests per second; null for none. */
   readonly rateLimitPerS: number | null;
+  /**
+   * Whether the owner of the queue permits it for a roll-out to the upstream's
+   * version.
+   */
+  readonly isTrial: boolean;
 }
 
 /** A run whose end was reported, and what that did to its upstream. */
