Merge roll-outs of an upstream's software version

Cause: the queue's placing, refusals and prefixes changed on both sides. Change: refusals and the preview go by the upstreams that roll-outs admit. Measured: 388 tests of scheduling, gateway and cli pass; 2 of the bed tests of roll-outs failed beside a load of 25 on 7 cores, which is being traced.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -95,6 +95,7 @@
       // Hints for the log, as none if they can't be read.
       heldTokens: COUNT.catch(0),
       rereadTokens: COUNT.catch(0),
+      isTrial: z.boolean().default(false),
     }),
   }),
   z.object({
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -18,6 +18,8 @@
 import {RefusalPolicy} from './refusals/refusal_policy.js';
 import type {ReturnCounts} from './refusals/return_ledger.js';
 import {hasRequiredVersion} from './required_version.js';
+import type {VersionGate} from './rollout/index.js';
+import {GatedUpstreams, OPEN_GATE} from './rollout/index.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
@@ -42,6 +44,8 @@
   readonly rateLimiter: UpstreamRateLimiter;
   /** Whether a member that can't be reached may own the queue as well. */
   readonly mayHaveOtherOwner: () => boolean;
+  /** Decides which software versions may get a request; all without it. */
+  readonly versionGate?: () => VersionGate;
 }
 
 /**
@@ -55,6 +59,7 @@
   readonly upstreams = new Map<string, UpstreamState>();
   /** Parts of prompts that the upstreams hold. */
   readonly prefixes: PromptPrefixes;
+  private readonly gated: GatedUpstreams;
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
   private readonly chooser: UpstreamChooser;
@@ -63,7 +68,7 @@
   private readonly refusals = new RefusalPolicy({
     waiting: this.waiting,
     ratesAt: nowMs => this.rateEstimator(nowMs),
-    staying: () => this.staying,
+    staying: () => this.gated.staying(this.options.nowMs()),
     onRefused: ({isRetry}) => {
       if (isRetry) this.options.retryBudget.giveBack();
     },
@@ -72,6 +77,8 @@
 
   constructor(private readonly options: DispatchQueueOptions) {
     const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
+    const {versionGate = () => OPEN_GATE} = options;
+    this.gated = new GatedUpstreams(this.upstreams, versionGate);
     this.prefixes = new PromptPrefixes(this.latency);
     const {heldTokens} = this.prefixes;
     this.chooser = new UpstreamChooser(this.latency, rateLimiter, heldTokens);
@@ -124,7 +131,8 @@
     const now = this.options.nowMs();
     const idleStartMs = this.idleStartMs(request.promptTokens);
     const forecast = this.refusals.forecast(request, idleStartMs, now);
-    const usable = this.usable(now);
+    const {gated, chooser} = this;
+    const usable = gated.usableOfAnyVersion(now);
     const free = usable.filter(state => this.hasRoom(state, now));
     return previewRequest({
       ...forecast,
@@ -133,8 +141,8 @@
       free,
       rateLimiter: this.options.rateLimiter,
       waitingCount: this.waiting.size,
-      choose: asked => this.chooser.choose(asked, usable, free, now),
-      estimate: state => this.chooser.estimateCost(request, state),
+      choose: asked => gated.choose(chooser, asked, usable, free, now),
+      estimate: state => chooser.estimateCost(request, state),
       heldTokens: this.prefixes.heldTokens,
     });
   }
@@ -166,6 +174,7 @@
    */
   handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
+    this.gated.gate.recordEnd(report, now);
     if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
     let ended: EndedRun | null = null;
     for (const state of this.upstreams.values()) {
@@ -241,6 +250,7 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
+    this.gated.observe(now);
     if (this.waiting.size > 0) {
       this.waiting.updateShareLevels(req => this.shares.levelOf(req, now));
       this.refusals.refuseUnplaceable(now);
@@ -263,12 +273,6 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  /** Upstreams that are not leaving. */
-  private get staying(): UpstreamSpec[] {
-    const specs = [...this.upstreams.values()].map(({spec}) => spec);
-    return specs.filter(({isLeaving}) => !isLeaving);
-  }
-
   /** Expected milliseconds to the first byte on the fastest idle upstream. */
   private idleStartMs(promptTokens: number): number {
     return this.latency.minStartMs(this.upstreams.values(), promptTokens);
@@ -276,7 +280,7 @@
 
   private rateEstimator(now: number): RateEstimator {
     return createRateEstimator(
-      this.usable(now),
+      this.gated.usable(now),
       this.waiting.requiredVersions,
       this.latency,
       this.options.rateLimiter,
@@ -293,27 +297,25 @@
     );
   }
 
-  private usable(now: number): UpstreamState[] {
-    return [...this.upstreams.values()].filter(state => state.isUsable(now));
-  }
-
   private placeWaiting(): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    const usable = this.usable(now);
+    const {gated} = this;
+    const usable = gated.usableOfAnyVersion(now);
     let free = usable.filter(state => this.hasRoom(state, now));
     if (free.length === 0) return;
     const {rateLimiter} = this.options;
     const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
       free.some(
-        ({spec}) =>
-          hasRequiredVersion(request, spec) &&
-          !rateLimiter.isPausedFor(request, spec, now),
+        state =>
+          hasRequiredVersion(request, state.spec) &&
+          !rateLimiter.isPausedFor(request, state.spec, now) &&
+          gated.mayTake(request, state, now),
       ),
     );
     for (const waiting of waitingRequests) {
       if (free.length === 0) return;
-      const choice = this.chooser.choose(waiting, usable, free, now);
+      const choice = gated.choose(this.chooser, waiting, usable, free, now);
       if (choice === 'late') {
         // It now queues behind its own tier, but still ahead of lower tiers.
         this.waiting.markLate(waiting);
@@ -342,6 +344,7 @@
     const freeSlots = state.freeSlots(now);
     const states = this.upstreams.values();
     const held = this.prefixes.recordGrant(state, request, states);
+    const isTrial = this.gated.gate.recordGrant(request, state.spec, now);
     rateLimiter.take(state.spec, now);
     state.runs.set(request.requestId, {
       requestId: request.requestId,
@@ -362,6 +365,7 @@
         isOnTrial: state.isOnTrial,
         rateLimitPerS: rateLimiter.limitOf(state.spec, now),
         ...held,
+        isTrial,
       },
     });
   }
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -103,6 +103,11 @@
   readonly heldTokens: number;
   /** Tokens of the prompt that it reads although another one holds them. */
   readonly rereadTokens: number;
+  /**
+   * Whether the owner of the queue permits it for a roll-out to the upstream's
+   * version.
+   */
+  readonly isTrial: boolean;
 }
 
 /** A run whose end was reported, and what that did to its upstream. */
