Set no account back for requests whose gateway tells none

In a mix of builds, the requests of all accounts behind earlier gateways counted as one account, and so would have gone behind those of the newer gateways.

--- a/packages/scheduling/src/fairness/account_shares.ts
+++ b/packages/scheduling/src/fairness/account_shares.ts
@@ -13,20 +13,23 @@
 
   /** Records that a request wants room. */
   recordWanted(request: GrantRequest, nowMs: number): void {
-    this.tierOf(request.tier)?.recordWanted(request, nowMs);
+    this.tierOf(request)?.recordWanted(request, nowMs);
   }
 
   /** Records that a request got room that others waited for. */
   recordContested(request: GrantRequest, nowMs: number): void {
-    this.tierOf(request.tier)?.recordContested(request, nowMs);
+    this.tierOf(request)?.recordContested(request, nowMs);
   }
 
   /** How far the account of a request is over its share; 0 if it is not. */
   levelOf(request: GrantRequest, nowMs: number): number {
+    if (request.account === null) return 0;
     return this.tiers.get(request.tier)?.levelOf(request, nowMs) ?? 0;
   }
 
-  private tierOf(tier: number): TierShares | null {
+  /** Null also for requests of no known account, which may be of several. */
+  private tierOf({tier, account}: GrantRequest): TierShares | null {
+    if (account === null) return null;
     const existing = this.tiers.get(tier);
     if (existing) return existing;
     if (this.tiers.size >= MAX_SHARED_TIERS) return null;
--- a/packages/scheduling/src/fairness/account_sharing.test.ts
+++ b/packages/scheduling/src/fairness/account_sharing.test.ts
@@ -105,6 +105,18 @@
     expect(shares.get('account-1')).toBeGreaterThan(0.97);
   });
 
+  it('sets nobody back whose gateway tells no account', () => {
+    const shares = playDay(index => ({
+      factor: 1.1,
+      changes: index < 8 ? {account: null} : {},
+    }));
+    const inTime = [...shares.values()];
+    const mean = (values: number[]): number =>
+      values.reduce((sum, value) => sum + value, 0) / values.length;
+    const difference = mean(inTime.slice(0, 8)) - mean(inTime.slice(8));
+    expect(difference).toBeGreaterThan(-0.05);
+  });
+
   it('gives an account with a larger quota more of the room', () => {
     const shares = playDay(index => ({
       factor: index < 2 ? 5 : 1,
