Keep requests that came back waiting for any gap, as their callers come back once

It is now refused only if it could not start at the whole rate, and callers without a promise are told times in the last quarter of what they wait rather than the last half, as bursts last some seconds.

--- a/packages/scheduling/src/refusals/refusals.test.ts
+++ b/packages/scheduling/src/refusals/refusals.test.ts
@@ -137,6 +137,23 @@
       expect({returned, refusedAgain}).toEqual({returned: 1, refusedAgain: 0});
     });
 
+    it('wait for a gap as long as they can, as they come back once', () => {
+      const day = new Day();
+      const ids = overload(day, 60);
+      const last = ids.at(-1)!;
+      day.advance(day.retryAfterMs(last));
+      // New requests of a higher tier take nearly all room.
+      for (let step = 0; step < 12; step++) {
+        for (let i = 0; i < 2; i++)
+          day.submit(`high-${step}-${i}`, {tier: 0, patienceLeftMs: 300});
+        if (step === 4) day.submit('again', {fingerprint: last});
+        day.advance(50);
+      }
+      expect(day.harness.refusalOf('again')).toBeNull();
+      day.advance(1_000);
+      expect(day.harness.placementOf('again')).not.toBeNull();
+    });
+
     it('are as new requests if they come sooner', () => {
       const day = new Day();
       const [first] = overload(day, 30);
@@ -172,7 +189,7 @@
     expect(booked.filter(({isPromised}) => isPromised)).toHaveLength(31);
     const others = booked.slice(31).map(({afterMs}) => afterMs);
     expect(new Set(others).size).toBe(29);
-    expect(Math.min(...others)).toBeGreaterThanOrEqual(2_500);
+    expect(Math.min(...others)).toBeGreaterThanOrEqual(3_250);
     expect(Math.max(...others)).toBeLessThanOrEqual(4_000);
   });
 
--- a/packages/scheduling/src/refusals/return_schedule.ts
+++ b/packages/scheduling/src/refusals/return_schedule.ts
@@ -12,7 +12,7 @@
  * Share of the time to come back that passes first for those to whom no room is
  * promised: the later, the sooner a burst is over.
  */
-const EARLIEST_UNPROMISED = 0.5;
+const EARLIEST_UNPROMISED = 0.75;
 
 /** Its multiples fill a range evenly, however many there are. */
 const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
--- a/packages/scheduling/src/refusals/wait_forecast.ts
+++ b/packages/scheduling/src/refusals/wait_forecast.ts
@@ -39,8 +39,10 @@
     return {...rate, perMs};
   };
   return waiting => {
-    const {request} = waiting;
+    const {request, wasRefused} = waiting;
     const rate = rateFor(request);
+    // Its caller won't come back once more, so that any gap is worth its wait.
+    if (wasRefused) return rate;
     // New requests of the tiers above this number go first.
     const limit = request.tier + (yieldsToNew(waiting) ? 1 : 0);
     const byLimit = lowered.get(rate) ?? new Map<number, PlacementRate>();
