Take Retry-After from the caller's time limit, not from the end of a gateway

A gateway that stops has less time left than its callers, who may come back to another one, so its limit shortened the Retry-After of refusals by the queue.

--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -36,7 +36,7 @@
     promptTokens: head.tokens?.prompt ?? 0,
     objectiveLeftMs: Math.round(objectiveLeftMs),
     patienceLeftMs: Math.round(patienceLeftMs),
-    timeLeftMs: Math.round(timer.remainingMs),
+    timeLeftMs: Math.round(timer.ownRemainingMs),
     isRepeatable: isRepeatable(route),
     route: route.name,
     account: account?.name ?? null,
--- a/packages/gateway/src/run_refusal.ts
+++ b/packages/gateway/src/run_refusal.ts
@@ -32,8 +32,9 @@
 
   /** A refusal by the queue, with a Retry-After for which callers wait. */
   fromQueue({reason, retryAfterMs}: QueueRefused): GatewayRefusalError {
-    const honouredMs = Math.floor(RETRY_AFTER_SHARE * this.timer.remainingMs);
-    const afterMs = Math.max(0, Math.min(retryAfterMs, honouredMs));
+    const {ownRemainingMs} = this.timer;
+    const honouredMs = Math.floor(RETRY_AFTER_SHARE * ownRemainingMs);
+    const afterMs = Math.min(retryAfterMs, honouredMs);
     return this.unlessRun(
       new GatewayRefusalError(toGatewayRefusal(reason), afterMs),
     );
