--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -16,7 +16,12 @@
 type GrantedRequest = Pick<
   OpenRequest,
   'admission' | 'head' | 'fingerprint'
-> & {readonly timer: Pick<RequestTimer, 'elapsedMs' | 'remainingMs'>};
+> & {
+  readonly timer: Pick<
+    RequestTimer,
+    'elapsedMs' | 'remainingMs' | 'ownRemainingMs'
+  >;
+};
 
 /** Creates what is sent to the owner of a queue for an upstream. */
 export function createGrantRequest(
--- a/packages/gateway/src/request_preview.ts
+++ b/packages/gateway/src/request_preview.ts
@@ -170,6 +170,7 @@
     head: RequestHead,
   ): Promise<ServicePreview> {
     const {members} = this.gateway;
+    const {timeoutMs} = admission.route;
     const owner = members.ownerOf(service);
     const progress = {
       lastEventId: null,
@@ -180,7 +181,7 @@
       admission,
       head,
       fingerprint: PREVIEW_ID,
-      timer: {elapsedMs: 0, remainingMs: admission.route.timeoutMs},
+      timer: {elapsedMs: 0, remainingMs: timeoutMs, ownRemainingMs: timeoutMs},
     };
     const {gateway} = this;
     const item = createGrantRequest(gateway, request, progress, {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -140,6 +140,7 @@
       states: [...this.upstreams.values()],
       free,
       rateLimiter: this.options.rateLimiter,
+      mayTake: state => gated.mayTake(request, state, now),
       waitingCount: this.waiting.size,
       choose: asked => gated.choose(chooser, asked, usable, free, now),
       estimate: state => chooser.estimateCost(request, state),
--- a/packages/scheduling/src/preview/queue_preview.test.ts
+++ b/packages/scheduling/src/preview/queue_preview.test.ts
@@ -1,11 +1,12 @@
 import {describe, expect, it} from 'vitest';
 import {RUN_END} from '../constants.js';
+import {closedGate} from '../rollout/index.js';
 import {
   grantRequest,
   QueueHarness,
   upstream,
 } from '../test_support/queue_harness.js';
-import type {GrantRequest} from '../types.js';
+import type {GrantRequest, UpstreamSpec} from '../types.js';
 import type {QueuePreview} from './queue_preview.js';
 
 describe('the preview of a request', () => {
@@ -65,6 +66,21 @@
     expect([bound.outcome, bound.reason]).toEqual(['refused', 'no_version']);
   });
 
+  it('tells that a roll-out keeps the request from a version', () => {
+    const specs = ['v1', 'v2'].map(softwareVersion =>
+      upstream(softwareVersion, 1, {softwareVersion}),
+    );
+    const isBarred = ({softwareVersion}: UpstreamSpec): boolean =>
+      softwareVersion === 'v1';
+    const gate = closedGate(isBarred, () => false);
+    const {chosen, upstreams} = preview(new QueueHarness(specs, 0, gate));
+    expect(chosen).toBe('v2');
+    expect(upstreams.map(({obstacle}) => obstacle)).toEqual([
+      null,
+      'version_held_back',
+    ]);
+  });
+
   it('tells why it would be refused', () => {
     const harness = twoSlots();
     const reasonOf = (changes: Partial<GrantRequest>): unknown[] => {
--- a/packages/scheduling/src/preview/queue_preview.ts
+++ b/packages/scheduling/src/preview/queue_preview.ts
@@ -31,6 +31,8 @@
 /** Why an upstream can't be given a request now. */
 export const PREVIEW_OBSTACLE = {
   OTHER_VERSION: 'other_version',
+  /** A roll-out keeps the request from its software version. */
+  HELD_BACK: 'version_held_back',
   LEAVING: 'leaving',
   UNHEALTHY: 'backing_off',
   PAUSED: 'paused',
@@ -74,6 +76,8 @@
   /** Those of the states that have room. */
   readonly free: readonly UpstreamState[];
   readonly rateLimiter: UpstreamRateLimiter;
+  /** Whether a roll-out lets the request go there. */
+  readonly mayTake: (state: UpstreamState) => boolean;
   /** Requests that wait in the queue. */
   readonly waitingCount: number;
   readonly choose: (waiting: WaitingRequest) => UpstreamChoice;
@@ -141,11 +145,12 @@
 /** What keeps a request from an upstream now; null for nothing. */
 function obstacleOf(
   state: UpstreamState,
-  {waiting: {request}, nowMs, free, rateLimiter}: PreviewInput,
+  {waiting: {request}, nowMs, free, rateLimiter, mayTake}: PreviewInput,
 ): PreviewObstacle | null {
   const {spec} = state;
   if (!hasRequiredVersion(request, spec)) return PREVIEW_OBSTACLE.OTHER_VERSION;
   if (spec.isLeaving) return PREVIEW_OBSTACLE.LEAVING;
+  if (!mayTake(state)) return PREVIEW_OBSTACLE.HELD_BACK;
   if (!state.isUsable(nowMs)) return PREVIEW_OBSTACLE.UNHEALTHY;
   if (rateLimiter.isPausedFor(request, spec, nowMs)) {
     return PREVIEW_OBSTACLE.PAUSED;
