Bound the requests that are read ahead on one connection

Node.js parses and serves all requests that a caller sends ahead, whether it takes the answers or not: 40 connections with 8,000 requests each kept the gateway from answering anybody, or ended it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {OriginHistory} from './origin_history.js';
 import {NeighbourNotices} from './neighbour_notices.js';
 import {createPeerHandlers} from './peer_handlers.js';
+import {PipelineGate} from './pipeline_gate.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
 import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
@@ -83,6 +84,7 @@
   private readonly context: GatewayContext;
   private readonly usageExchange: UsageExchange;
   private readonly callerServer: CallerServer;
+  private readonly callerPipelines: PipelineGate;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
   private readonly readyServer: http.Server;
@@ -213,15 +215,19 @@
       metrics: this.metrics,
     };
     this.callerServer = new CallerServer(this.context);
+    this.callerPipelines = new PipelineGate(
+      (req, res) => {
+        this.idleConnections.handleRequest(req, res);
+        void this.callerServer.serve(req, res);
+      },
+      dropped => this.handlePipelineCut(dropped),
+    );
     this.callerHttpServer = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      (req, res) => {
-        this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
-      },
+      (req, res) => this.callerPipelines.handle(req, res),
     );
     this.idleConnections = new IdleConnections(
       this.callerHttpServer,
@@ -374,6 +380,14 @@
     this.context.upstreamPaths.close();
   }
 
+  private handlePipelineCut(dropped: number): void {
+    this.metrics.recordUnruly('requests_sent_ahead');
+    this.options.log.warn('connection_cut', {
+      reason: 'requests_sent_ahead',
+      dropped,
+    });
+  }
+
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -18,6 +18,15 @@
   readonly priority: string;
 }
 
+/** Why a caller's request was refused unread, or its connection closed. */
+export type UnrulyReason =
+  | 'requests_sent_ahead'
+  | 'body_dropped'
+  | 'body_too_slow'
+  | 'body_unwanted'
+  | 'too_many_connections'
+  | 'reader_too_slow';
+
 /** Counters and histograms of a gateway; durations are in milliseconds. */
 export interface GatewayMetrics {
   /** Records how a request ended; `reason` is its status or refusal reason. */
@@ -65,6 +74,8 @@
   ) => void;
   /** Records that a response was given up for the budget of all responses. */
   readonly recordResponseDropped: () => void;
+  /** Records that a limit for callers refused a request or a connection. */
+  readonly recordUnruly: (reason: UnrulyReason) => void;
   /** Sets the gauge of a name and label. */
   readonly setGauge: (name: string, label: string, value: number) => void;
   /** Returns all metrics in the Prometheus text format. */
@@ -114,6 +125,12 @@
     help: 'Responses given up for the budget of all responses',
     registers,
   });
+  const unruly = new Counter({
+    name: `${PREFIX}unruly_callers_total`,
+    help: 'Requests refused and connections closed by limits for callers',
+    labelNames: ['reason'],
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -172,6 +189,7 @@
       eventGaps.observe({...route, upstream_state: upstreamState}, gapMs),
     recordResume: (route, by, version) => resumes.inc({...route, by, version}),
     recordResponseDropped: () => responsesDropped.inc(),
+    recordUnruly: reason => unruly.inc({reason}),
     setGauge: (name, label, value) => stateGauges.set({name, label}, value),
     renderText: () => registry.metrics(),
   };
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -4,6 +4,7 @@
 import https from 'node:https';
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {ByteAccumulator} from './byte_accumulator.js';
 import {CALL_ERROR_KIND, CONNECT_TIMEOUT_MS} from './constants.js';
 import {BodyTooLargeError, CallError} from './errors.js';
 import type {TlsCredentials} from './types.js';
@@ -179,12 +180,12 @@
   stream: AsyncIterable<Buffer>,
   maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteAccumulator();
   for await (const chunk of stream) {
-    size += chunk.length;
-    if (size > maxBytes) throw new BodyTooLargeError(maxBytes);
-    chunks.push(chunk);
+    if (body.length + chunk.length > maxBytes) {
+      throw new BodyTooLargeError(maxBytes);
+    }
+    body.append(chunk);
   }
-  return Buffer.concat(chunks);
+  return body.takeAll();
 }
