--- a/packages/gateway/src/request_preview.ts
+++ b/packages/gateway/src/request_preview.ts
@@ -180,7 +180,11 @@
       admission,
       head,
       fingerprint: PREVIEW_ID,
-      timer: {elapsedMs: 0, remainingMs: admission.route.timeoutMs},
+      timer: {
+        elapsedMs: 0,
+        remainingMs: admission.route.timeoutMs,
+        ownRemainingMs: admission.route.timeoutMs,
+      },
     };
     const {gateway} = this;
     const item = createGrantRequest(gateway, request, progress, {
