--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,9 @@
-import type {Clock, Logger} from '@fescuespool/common';
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
-import type {ConnectSocket} from '@fescuespool/transport';
 import {PeerNetwork} from '@fescuespool/transport';
 import http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
 import {CallerServer} from './caller_server.js';
-import type {BootClock} from './config_state.js';
 import {ConfigState} from './config_state.js';
 import {CONFIG_AGE_MARGIN_MS, MAX_HEADER_BYTES} from './constants.js';
 import {ConfirmedConnections} from './confirmed_connections.js';
@@ -16,6 +13,7 @@
 import {Dispatcher} from './dispatcher.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayOptions} from './gateway_options.js';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
 import {stopGracefully} from './graceful_stop.js';
@@ -27,6 +25,7 @@
 import {NeighbourNotices} from './neighbour_notices.js';
 import {createOperatorServer} from './operator_server.js';
 import {createPeerHandlers} from './peer_handlers.js';
+import {PipelineGate} from './pipeline_gate.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
 import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
@@ -36,18 +35,12 @@
 import {StopGate} from './stop_gate.js';
 import {RunTimes} from './stop_policy.js';
 import {StreamArchive} from './stream_archive.js';
-import type {RolloutStore} from './rollout_store.js';
 import type {Rollouts} from './rollouts.js';
 import {createRollouts} from './rollouts.js';
 import {RouteHistory} from './route_history.js';
 import type {OriginRecord, VersionsByService} from './stream_origin.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
-import type {
-  GatewayConfig,
-  GatewayMember,
-  StreamStore,
-  WireFormat,
-} from './types.js';
+import type {GatewayConfig, GatewayMember} from './types.js';
 import {UpstreamPaths} from './upstream_paths.js';
 import {UpstreamRegistry} from './upstream_registry.js';
 import {UpstreamStatements} from './upstream_statements.js';
@@ -55,21 +48,6 @@
 
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
-/** Settings and dependencies of a gateway. */
-export interface GatewayOptions {
-  readonly settings: GatewaySettings;
-  readonly clock: Clock;
-  readonly bootClock: BootClock;
-  readonly log: Logger;
-  readonly wireFormat: WireFormat;
-  /** Opens connections to upstreams. */
-  readonly connect: ConnectSocket;
-  /** Keeps where streams began when all gateways have ended. */
-  readonly streamStore: StreamStore;
-  /** Keeps the records of roll-outs; without it there are none. */
-  readonly rolloutStore?: RolloutStore;
-}
-
 /**
  * An entry point for requests with opaque bodies: routes them by host and path,
  * and shares one queue per service with the other gateways. The platform
@@ -90,6 +68,7 @@
   private readonly context: GatewayContext;
   private readonly usageExchange: UsageExchange;
   private readonly callerServer: CallerServer;
+  private readonly callerPipelines: PipelineGate;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
   private readonly readyServer: http.Server;
@@ -224,15 +203,19 @@
       metrics: this.metrics,
     };
     this.callerServer = new CallerServer(this.context);
+    this.callerPipelines = new PipelineGate(
+      (req, res) => {
+        this.idleConnections.handleRequest(req, res);
+        void this.callerServer.serve(req, res);
+      },
+      dropped => this.handlePipelineCut(dropped),
+    );
     this.callerHttpServer = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      (req, res) => {
-        this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
-      },
+      (req, res) => this.callerPipelines.handle(req, res),
     );
     this.idleConnections = new IdleConnections(
       this.callerHttpServer,
@@ -388,6 +371,14 @@
     this.context.upstreamPaths.close();
   }
 
+  private handlePipelineCut(dropped: number): void {
+    this.metrics.recordUnruly('requests_sent_ahead');
+    this.options.log.warn('connection_cut', {
+      reason: 'requests_sent_ahead',
+      dropped,
+    });
+  }
+
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -8,7 +8,7 @@
 } from '@fescuespool/scheduling';
 import {OPEN_GATE} from '@fescuespool/scheduling';
 import type {BootClock} from './config_state.js';
-import type {GatewayOptions} from './gateway.js';
+import type {GatewayOptions} from './gateway_options.js';
 import type {MemberDirectory} from './member_directory.js';
 import type {RolloutStore, StoredRollout} from './rollout_store.js';
 import {ServiceRollout} from './service_rollout.js';
