Place streams by when their events come, and by whom they hold up

Cause: the start of a prompt was predicted from a moving average of ended runs, and an upstream's whole start time was scaled by it, although only the reading of the prompt is slower there. Nothing weighed the pauses that reading a prompt causes to the streams beside it, which makes them late on slow upstreams. Change: each upstream has a lasting speed, learnt from starts and gaps, and the momentary slowdown that it told, weighed by its age. Streams with a bound on their gaps are placed by the probability that they are in time, less the neighbours that they make late; they wait where later room is better. Other requests are placed as before. The predicted start is compared with the seen one in a histogram, and the longest gap of a stream is a field of the log.

--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -51,11 +51,12 @@
     by: 'gateway' | 'caller',
     version: 'same' | 'other' | 'unknown',
   ) => void;
-  /** Records the time from a send to the first event of its stream. */
+  /** Records the time from a send to its stream's first event, and the expected. */
   readonly recordFirstEvent: (
     route: RouteLabels,
     upstreamState: string,
     startMs: number,
+    expectedStartMs: number,
   ) => void;
   /** Records the mean time between two events of a stream. */
   readonly recordEventGap: (
@@ -147,6 +148,11 @@
     'From a send to the first event of its stream',
     'upstream_state',
   );
+  const firstEventErrors = histogram(
+    'first_event_error_ms',
+    'Difference between the expected and the seen time to the first event',
+    'direction',
+  );
   const eventGaps = histogram(
     'event_gap_ms',
     'Mean time between two events of a stream',
@@ -163,11 +169,17 @@
       sends.inc({...route, upstream_state: upstreamState, end}),
     recordProbe: (route, result, hasBegun) =>
       probes.inc({...route, result, begun: String(hasBegun)}),
-    recordFirstEvent: (route, upstreamState, startMs) =>
+    recordFirstEvent: (route, upstreamState, startMs, expectedStartMs) => {
       firstEventDelays.observe(
         {...route, upstream_state: upstreamState},
         startMs,
-      ),
+      );
+      const direction = startMs > expectedStartMs ? 'later' : 'sooner';
+      firstEventErrors.observe(
+        {...route, direction},
+        Math.abs(startMs - expectedStartMs),
+      );
+    },
     recordEventGap: (route, upstreamState, gapMs) =>
       eventGaps.observe({...route, upstream_state: upstreamState}, gapMs),
     recordResume: (route, by, version) => resumes.inc({...route, by, version}),
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -64,6 +64,7 @@
       softwareVersion: null,
       hasSentHead: false,
       firstEventMs: null,
+      longestGapMs: null,
       hasSurvived: false,
     };
     this.tried = new TriedUpstreams(gateway.members.localMember.zone);
@@ -85,6 +86,7 @@
       runs: this.possibleRuns,
       queuedMs: Math.round(this.queuedMs),
       firstEventMs: this.progress.firstEventMs ?? undefined,
+      longestGapMs: this.progress.longestGapMs ?? undefined,
     };
   }
 
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -19,6 +19,8 @@
   hasSentHead: boolean;
   /** Milliseconds from the request to its first event; null until then. */
   firstEventMs: number | null;
+  /** Longest milliseconds between two events; null before the second one. */
+  longestGapMs: number | null;
   /** Whether an upstream has gone on after it had begun the response. */
   hasSurvived: boolean;
 }
@@ -163,8 +165,10 @@
     if (count === 0) return;
     const {options} = this;
     options.onContent();
+    const beforeMs = this.lastAtMs;
     this.lastAtMs = options.nowMs();
-    if (this.eventCount === 0) {
+    if (this.eventCount > 0) this.recordGap(this.lastAtMs - beforeMs);
+    else {
       this.firstAtMs = this.lastAtMs;
       options.onFirstEvent();
     }
@@ -173,6 +177,12 @@
     this.eventCount += count;
   }
 
+  private recordGap(gapMs: number): void {
+    const {progress} = this.options;
+    const longestMs = Math.max(progress.longestGapMs ?? 0, gapMs);
+    progress.longestGapMs = Math.round(longestMs);
+  }
+
   private write(
     events: readonly StreamEvent[],
     contentCount: number,
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -350,7 +350,12 @@
     dispatchClient.reportStart({requestId, startMs, load});
     if (!isStream(this.request.admission.route)) return;
     this.progress.firstEventMs ??= Math.round(this.request.timer.elapsedMs);
-    metrics.recordFirstEvent(this.routeLabels, this.upstreamState, startMs);
+    metrics.recordFirstEvent(
+      this.routeLabels,
+      this.upstreamState,
+      startMs,
+      this.placement.expectedStartMs,
+    );
   }
 
   private reportFailure(outcome: SendOutcome, runMs: number): void {
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -7,16 +7,17 @@
   MAX_WAITING,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
-  PLACEMENT_WINDOW,
   QUEUE_REFUSAL,
   REFUSED_FINGERPRINT_TTL_MS,
   RUN_END,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
+import type {PlacementChange} from './placing/placement_pass.js';
+import {PlacementPass} from './placing/placement_pass.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
-import {hasRequiredVersion, lackOf} from './required_version.js';
+import {lackOf} from './required_version.js';
 import {retryAfterMs} from './retry_after.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
@@ -28,8 +29,7 @@
   StartReport,
   UpstreamSpec,
 } from './types.js';
-import type {Candidate} from './upstream_choice.js';
-import {UpstreamChooser} from './upstream_choice.js';
+import type {HeldTokens} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
 import {WaitingList} from './waiting_list.js';
@@ -43,6 +43,8 @@
   readonly rateLimiter: UpstreamRateLimiter;
   /** Whether a member that can't be reached may own the queue as well. */
   readonly mayHaveOtherOwner: () => boolean;
+  /** What upstreams hold of a prompt; nothing if unset. */
+  readonly heldTokens?: HeldTokens;
 }
 
 /**
@@ -56,7 +58,7 @@
   readonly upstreams = new Map<string, UpstreamState>();
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
-  private readonly chooser: UpstreamChooser;
+  private readonly placement: PlacementPass;
   private readonly entryMonitor = new EntryMonitor();
   /** Fingerprints of refused requests that their callers may repeat. */
   private readonly refusedFingerprints = new LRUCache<string, true>({
@@ -68,12 +70,18 @@
 
   constructor(private readonly options: DispatchQueueOptions) {
     const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
-    this.chooser = new UpstreamChooser(this.latency, rateLimiter);
     this.brittleGuard = new BrittleGuard(
       rateLimiter,
       mayHaveOtherOwner,
       nowMs(),
     );
+    this.placement = new PlacementPass({
+      waiting: this.waiting,
+      latency: this.latency,
+      rateLimiter,
+      brittleGuard: this.brittleGuard,
+      heldTokens: options.heldTokens ?? (() => 0),
+    });
   }
 
   /** Retry budget of the service. */
@@ -128,7 +136,7 @@
       return;
     }
     this.waiting.add(waiting);
-    this.placeWaiting();
+    this.placeWaiting({request: waiting});
   }
 
   /** Removes a waiting request without answering it. */
@@ -143,8 +151,9 @@
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
-      this.latency.observeStart(state, run.promptTokens, report.startMs);
+      this.latency.observeStart(state, run, report, now);
       state.recordStart(report.requestId, report.load, now);
+      this.placement.recordChange(state);
       return;
     }
   }
@@ -157,13 +166,16 @@
     const now = this.options.nowMs();
     if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
     let ended: EndedRun | null = null;
+    let change: PlacementChange | null = null;
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
       state.recordEnd(report, now);
+      change = {state};
+      this.placement.recordChange(state);
       if (report.end === RUN_END.COMPLETED) {
-        this.latency.observeRun(this.upstreams.values(), report.runMs);
+        this.latency.observeRun(this.upstreams.values(), state, report);
       }
       ended = {
         instanceId: state.spec.instanceId,
@@ -172,7 +184,7 @@
       };
       break;
     }
-    this.placeWaiting();
+    this.placeWaiting(change);
     return ended;
   }
 
@@ -215,6 +227,7 @@
       if (existing && isSame) existing.spec = spec;
       else this.upstreams.set(spec.instanceId, new UpstreamState(spec));
     }
+    this.placement.retain(this.upstreams.values());
     this.placeWaiting();
   }
 
@@ -317,79 +330,13 @@
     );
   }
 
-  private hasRoom(state: UpstreamState, now: number): boolean {
-    const {rateLimiter} = this.options;
-    return (
-      state.freeSlots(now) > 0 &&
-      rateLimiter.waitMs(state.spec, now) === 0 &&
-      this.brittleGuard.permits(state, now)
-    );
-  }
-
   private usable(now: number): UpstreamState[] {
     return [...this.upstreams.values()].filter(state => state.isUsable(now));
   }
 
-  private placeWaiting(): void {
+  private placeWaiting(change: PlacementChange | null = null): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    const usable = this.usable(now);
-    let free = usable.filter(state => this.hasRoom(state, now));
-    if (free.length === 0) return;
-    const {rateLimiter} = this.options;
-    const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
-      free.some(
-        ({spec}) =>
-          hasRequiredVersion(request, spec) &&
-          !rateLimiter.isPausedFor(request, spec, now),
-      ),
-    );
-    for (const waiting of waitingRequests) {
-      if (free.length === 0) return;
-      const choice = this.chooser.choose(waiting, usable, free, now);
-      if (choice === 'late') {
-        // It now queues behind its own tier, but still ahead of lower tiers.
-        this.waiting.markLate(waiting);
-        this.placeWaiting();
-        return;
-      }
-      if (choice === 'wait') continue;
-      this.waiting.remove(waiting.request.requestId);
-      this.grant(waiting, choice, now);
-      if (!this.hasRoom(choice.state, now)) {
-        free = free.filter(state => state !== choice.state);
-      }
-    }
-  }
-
-  private grant(
-    waiting: WaitingRequest,
-    {state, startMs}: Candidate,
-    now: number,
-  ): void {
-    const {request} = waiting;
-    const {rateLimiter} = this.options;
-    const freeSlots = state.freeSlots(now);
-    rateLimiter.take(state.spec, now);
-    state.runs.set(request.requestId, {
-      requestId: request.requestId,
-      entryId: request.entryId,
-      promptTokens: request.promptTokens,
-      grantedAtMs: now,
-      expectedStartMs: startMs,
-      hasStarted: false,
-      confirmedAtMs: now,
-    });
-    waiting.answer({
-      kind: 'placed',
-      placement: {
-        upstream: state.spec,
-        expectedStartMs: startMs,
-        waitedMs: now - waiting.arrivedAtMs,
-        freeSlots,
-        isOnTrial: state.isOnTrial,
-        rateLimitPerS: rateLimiter.limitOf(state.spec, now),
-      },
-    });
+    this.placement.run(this.usable(now), now, change);
   }
 }
--- a/packages/scheduling/src/latency_estimator.test.ts
+++ b/packages/scheduling/src/latency_estimator.test.ts
@@ -18,6 +18,9 @@
       requestId: 'r',
       entryId: 'entry',
       promptTokens: 0,
+      tier: 0,
+      maxEventGapMs: null,
+      medianReadMs: 0,
       grantedAtMs: 0,
       expectedStartMs: 1,
       hasStarted: true,
@@ -25,9 +28,9 @@
     });
     state.recordEnd(report, 5);
     const latency = new LatencyEstimator();
-    latency.observeRun([state], report.runMs);
+    latency.observeRun([state], state, report);
     expect(state.serviceTimeMs).toBe(0);
-    expect(latency.predictStartMs(state, 100)).toBeGreaterThan(0);
+    expect(latency.predictStartMs(state, 100, 5)).toBeGreaterThan(0);
     expect(latency.predictRunMs(state)).toBeGreaterThan(0);
   });
 });
--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -1,53 +1,153 @@
 import {INITIAL_RUN_MS, TIME_SMOOTHING_FACTOR} from './constants.js';
+import {SlowdownShares} from './estimates/slowdown_shares.js';
+import type {ServiceTimes} from './placing/stream_outlook.js';
 import {StartTimeModel} from './start_time_model.js';
-import type {UpstreamState} from './upstream_state.js';
+import type {EndReport, StartReport} from './types.js';
+import type {ActiveRun, UpstreamState} from './upstream_state.js';
 
 /** Smallest slowdown factor, so that no prediction becomes zero. */
 const MIN_SLOWDOWN = 0.05;
 
+/** Expected milliseconds between two events before there are samples. */
+const INITIAL_EVENT_GAP_MS = 25;
+
+/**
+ * Weights of a shorter and a longer gap: the estimate stays near the shortest gaps,
+ * as prompts that are read beside a stream lengthen most of them.
+ */
+const SHORTER_GAP_WEIGHT = 0.2;
+const LONGER_GAP_WEIGHT = 0.02;
+
+/** Number of known upstreams from which their median counts. */
+const MIN_KNOWN_UPSTREAMS = 3;
+
 /** Predicts the start and run times of a service from samples of its upstreams. */
 export class LatencyEstimator {
   private readonly model = new StartTimeModel();
+  private readonly slowdowns = new SlowdownShares();
   private meanRunMs = INITIAL_RUN_MS;
+  /** Between two events while no prompt is read, and in the mean. */
+  private eventGapMs = INITIAL_EVENT_GAP_MS;
+  private meanEventGapMs = INITIAL_EVENT_GAP_MS;
   /** Median service time of the upstreams; null before the first sample. */
   private medianServiceTimeMs: number | null = null;
+  /** Median lasting ratio of the upstreams that have read prompts. */
+  private medianRatio = 1;
+
+  /** Times of the median upstream of the service. */
+  readonly times: ServiceTimes = {
+    baseMs: () => this.model.predictMs(0),
+    readMs: promptTokens => this.model.prefillMs(promptTokens),
+    slowdownShareAbove: limit => this.slowdowns.shareAbove(limit),
+    eventGapMs: () => this.eventGapMs,
+  };
 
-  /** Adds a sample of the time in milliseconds to the first byte. */
+  /** Adds a sample of the time to the first byte, and the load told with it. */
   observeStart(
     state: UpstreamState,
-    promptTokens: number,
-    firstByteMs: number,
+    {promptTokens, medianReadMs}: ActiveRun,
+    {startMs, load}: StartReport,
+    nowMs: number,
   ): void {
-    this.model.observe(promptTokens, firstByteMs / this.slowdownOf(state));
+    const {speed} = state;
+    const told = speed.recordLoad(load, nowMs);
+    if (told !== null) this.slowdowns.observe(told);
+    if (medianReadMs === 0) {
+      this.model.observe(promptTokens, startMs / this.slowdownOf(state));
+      return;
+    }
+    const baseMs = this.model.predictMs(0);
+    const workMs = (startMs - baseMs) / Math.max(1, speed.slowdownAt(nowMs));
+    speed.record(workMs, medianReadMs);
+    const aheadMs = medianReadMs - this.model.prefillMs(promptTokens);
+    const ownMs = workMs / this.slowdownOf(state) - aheadMs;
+    this.model.observe(promptTokens, Math.max(1, baseMs + ownMs));
   }
 
-  /** Adds a sample of a whole run in milliseconds and updates the median. */
-  observeRun(states: Iterable<UpstreamState>, sampleMs: number): void {
-    this.meanRunMs += TIME_SMOOTHING_FACTOR * (sampleMs - this.meanRunMs);
-    const samples: number[] = [];
-    for (const {serviceTimeMs} of states) {
-      if (serviceTimeMs !== null) samples.push(serviceTimeMs);
+  /** Adds a sample of a whole run and updates the medians. */
+  observeRun(
+    states: Iterable<UpstreamState>,
+    state: UpstreamState,
+    {runMs, eventGapMs}: EndReport,
+  ): void {
+    if (eventGapMs !== null && eventGapMs > 0) {
+      state.speed.record(eventGapMs, this.meanEventGapMs);
+      const sampleMs = eventGapMs / this.slowdownOf(state);
+      this.meanEventGapMs +=
+        LONGER_GAP_WEIGHT * (sampleMs - this.meanEventGapMs);
+      const isShorter = sampleMs < this.eventGapMs;
+      const weight = isShorter ? SHORTER_GAP_WEIGHT : LONGER_GAP_WEIGHT;
+      this.eventGapMs += weight * (sampleMs - this.eventGapMs);
+    }
+    const ratio = this.ratioOf(state) ?? 1;
+    this.meanRunMs += TIME_SMOOTHING_FACTOR * (runMs / ratio - this.meanRunMs);
+    const serviceTimes: number[] = [];
+    const ratios: number[] = [];
+    for (const {serviceTimeMs, speed} of states) {
+      if (serviceTimeMs !== null) serviceTimes.push(serviceTimeMs);
+      if (speed.lastingRatio !== null) ratios.push(speed.lastingRatio);
     }
-    samples.sort((a, b) => a - b);
-    this.medianServiceTimeMs = samples[Math.floor(samples.length / 2)] ?? null;
+    this.medianServiceTimeMs = medianOf(serviceTimes);
+    const isKnown = ratios.length >= MIN_KNOWN_UPSTREAMS;
+    this.medianRatio = (isKnown && medianOf(ratios)) || 1;
   }
 
-  /** Ratio of an upstream's service time to the median; 1 without either. */
-  slowdownOf({serviceTimeMs}: UpstreamState): number {
+  /**
+   * Ratio of an upstream's times to the median: by the prompts that it has read or,
+   * without any, by its service time; 1 if nothing is known of it.
+   */
+  slowdownOf(state: UpstreamState): number {
+    const ratio = this.ratioOf(state);
+    if (ratio !== null) return Math.max(MIN_SLOWDOWN, ratio);
+    const {serviceTimeMs} = state;
     // All events of short streams may arrive at once, with no gap between them.
     if (serviceTimeMs === null || !this.medianServiceTimeMs) return 1;
     return Math.max(MIN_SLOWDOWN, serviceTimeMs / this.medianServiceTimeMs);
   }
 
+  private ratioOf({speed}: UpstreamState): number | null {
+    const {lastingRatio} = speed;
+    return lastingRatio === null ? null : lastingRatio / this.medianRatio;
+  }
+
   /** Expected milliseconds of a run on an upstream. */
   predictRunMs(state: UpstreamState): number {
     return this.meanRunMs * this.slowdownOf(state);
   }
 
   /** Expected milliseconds to the first byte, after the prompts already sent. */
-  predictStartMs(state: UpstreamState, promptTokens: number): number {
-    const wait = this.model.prefillMs(state.pendingPromptTokens());
-    return this.slowdownOf(state) * (wait + this.model.predictMs(promptTokens));
+  predictStartMs(
+    state: UpstreamState,
+    promptTokens: number,
+    nowMs: number,
+  ): number {
+    const waitMs = this.model.prefillMs(this.unreadTokens(state, nowMs));
+    return (
+      this.slowdownOf(state) * (waitMs + this.model.predictMs(promptTokens))
+    );
+  }
+
+  /**
+   * Prompt tokens that an upstream has yet to read: those of the runs that have
+   * not started, less what it has read since the first of them had its turn.
+   */
+  unreadTokens(
+    state: UpstreamState,
+    nowMs: number,
+    factor = this.slowdownOf(state),
+  ): number {
+    let tokens = 0;
+    let first: ActiveRun | null = null;
+    for (const run of state.runs.values()) {
+      if (run.hasStarted) continue;
+      first ??= run;
+      tokens += run.promptTokens;
+    }
+    if (first === null) return 0;
+    const sinceMs = nowMs - Math.max(first.grantedAtMs, state.lastStartAtMs);
+    const prefillMs = factor * this.model.prefillMs(first.promptTokens);
+    const readShare = prefillMs === 0 ? 0 : Math.min(1, sinceMs / prefillMs);
+    return tokens - readShare * first.promptTokens;
   }
 
   /**
@@ -57,7 +157,9 @@
   minStartMs(states: Iterable<UpstreamState>, promptTokens: number): number {
     let min = Infinity;
     for (const state of states) min = Math.min(min, this.slowdownOf(state));
-    return min === Infinity ? 0 : min * this.model.predictMs(promptTokens);
+    if (min === Infinity) return 0;
+    if (promptTokens === 0) return min * this.model.predictMs(0);
+    return this.model.predictMs(0) + min * this.model.prefillMs(promptTokens);
   }
 
   /**
@@ -76,3 +178,8 @@
     return rate;
   }
 }
+
+function medianOf(samples: number[]): number | null {
+  samples.sort((a, b) => a - b);
+  return samples[Math.floor(samples.length / 2)] ?? null;
+}
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -10,6 +10,7 @@
   RunEnd,
   UpstreamSpec,
 } from '../types.js';
+import type {HeldTokens} from '../upstream_choice.js';
 import {NO_LIMITS, UpstreamLimits} from '../upstream_limits.js';
 import {UpstreamPauses} from '../upstream_pauses.js';
 import {UpstreamRateLimiter} from '../upstream_rate_limiter.js';
@@ -84,13 +85,18 @@
   /** The queue under test. */
   readonly queue: DispatchQueue;
 
-  constructor(specs: UpstreamSpec[], extraRetries = 100) {
+  constructor(
+    specs: UpstreamSpec[],
+    extraRetries = 100,
+    heldTokens?: HeldTokens,
+  ) {
     const budget = {ratio: 0, extra: extraRetries, windowMs: 10_000};
     this.queue = new DispatchQueue({
       nowMs: () => this.nowMs,
       retryBudget: new RetryBudget(budget),
       rateLimiter: new UpstreamRateLimiter(this.limits, this.pauses),
       mayHaveOtherOwner: () => false,
+      ...(heldTokens && {heldTokens}),
     });
     this.queue.setUpstreams(specs);
   }
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -5,6 +5,7 @@
   RUN_TIME_WEIGHT,
 } from './constants.js';
 import type {LatencyEstimator} from './latency_estimator.js';
+import {StreamPlacer} from './placing/stream_placer.js';
 import {hasRequiredVersion} from './required_version.js';
 import type {GrantRequest} from './types.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
@@ -15,6 +16,8 @@
 export interface Candidate {
   readonly state: UpstreamState;
   readonly startMs: number;
+  /** Prompt tokens that it has to read. */
+  readonly readTokens: number;
   /** Start time, weighted run time and penalties. */
   readonly costMs: number;
 }
@@ -34,12 +37,53 @@
   return states.filter(({spec}) => hasRequiredVersion(request, spec));
 }
 
+/**
+ * Tokens of a request's prompt that an upstream still holds, so that it need not
+ * read them.
+ */
+export type HeldTokens = (
+  state: UpstreamState,
+  request: GrantRequest,
+  nowMs: number,
+) => number;
+
 /** Chooses upstreams for waiting requests by their estimated cost. */
 export class UpstreamChooser {
+  /** Places streams whose route bounds the time between two events. */
+  private readonly streams: StreamPlacer;
+
   constructor(
     private readonly latency: LatencyEstimator,
     private readonly rateLimiter: UpstreamRateLimiter,
-  ) {}
+    private readonly heldTokens: HeldTokens,
+  ) {
+    this.streams = new StreamPlacer(latency, heldTokens, penaltyMs);
+  }
+
+  /** Starts a pass over the waiting requests, with the upstreams in use. */
+  startPass(usableStates: readonly UpstreamState[]): void {
+    this.streams.startPass(usableStates);
+  }
+
+  /** Starts again with the first waiting request, in the same pass. */
+  restartPass(): void {
+    this.streams.restart();
+  }
+
+  /** Whether a stream of this pass waits for better room than there is. */
+  get hasPassedOver(): boolean {
+    return this.streams.hasPassedOver;
+  }
+
+  /** Takes into account that the runs of an upstream have changed. */
+  recordChange(state: UpstreamState): void {
+    this.streams.forget(state);
+  }
+
+  /** Forgets all but the given upstreams. */
+  retain(states: Iterable<UpstreamState>): void {
+    this.streams.retain(new Set(states));
+  }
 
   /**
    * Chooses the cheapest of the upstreams with room. A request waits for a busy
@@ -76,7 +120,10 @@
       usable.some(state => isNew(state) && isReachable(state));
     if (notExcluded.length === 0 && hasAlternative()) return 'wait';
     const candidates = notExcluded.length > 0 ? notExcluded : eligible;
-    const best = this.findCheapest(request, candidates);
+    if (request.maxEventGapMs !== null && request.promptTokens > 0) {
+      return this.streams.choose(waiting, candidates, nowMs);
+    }
+    const best = this.findCheapest(request, candidates, nowMs);
     if (!best) return 'wait';
     if (waiting.isLate) return best;
     const leftMs = waiting.objectiveAtMs - nowMs;
@@ -87,28 +134,30 @@
   private findCheapest(
     request: GrantRequest,
     states: readonly UpstreamState[],
+    nowMs: number,
   ): Candidate | null {
     let best: Candidate | null = null;
     for (const state of states) {
-      const candidate = this.estimateCost(request, state);
+      const candidate = this.estimateCost(request, state, nowMs);
       if (!best || candidate.costMs < best.costMs) best = candidate;
     }
     return best;
   }
 
   /** Estimates the cost of a request at an upstream in milliseconds. */
-  private estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
-    const startMs = this.latency.predictStartMs(state, request.promptTokens);
-    const {zone} = state.spec;
-    const crossZoneMs = zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
-    const isAvoided = request.avoidedZones.includes(zone);
-    const zoneMs = isAvoided ? AVOIDED_ZONE_COST_MS : crossZoneMs;
+  private estimateCost(
+    request: GrantRequest,
+    state: UpstreamState,
+    nowMs: number,
+  ): Candidate {
+    const held = this.heldTokens(state, request, nowMs);
+    const readTokens = Math.max(0, request.promptTokens - held);
+    const startMs = this.latency.predictStartMs(state, readTokens, nowMs);
     const costMs =
       startMs +
       RUN_TIME_WEIGHT * this.latency.predictRunMs(state) +
-      FAILURE_COST_MS * state.failureRate +
-      zoneMs;
-    return {state, startMs, costMs};
+      penaltyMs(request, state);
+    return {state, startMs, readTokens, costMs};
   }
 
   /** Whether waiting for room at a busy upstream would meet the objective. */
@@ -124,7 +173,18 @@
         this.latency.predictRunMs(state) / slots,
         this.rateLimiter.waitMsFor(request, state.spec, nowMs),
       );
-      return roomWaitMs + this.estimateCost(request, state).startMs <= leftMs;
+      return (
+        roomWaitMs + this.estimateCost(request, state, nowMs).startMs <= leftMs
+      );
     });
   }
 }
+
+/** Cost in milliseconds of an upstream's failures and of its zone. */
+function penaltyMs(request: GrantRequest, state: UpstreamState): number {
+  const {zone} = state.spec;
+  const crossZoneMs = zone === request.zone ? 0 : CROSS_ZONE_COST_MS;
+  const isAvoided = request.avoidedZones.includes(zone);
+  const zoneMs = isAvoided ? AVOIDED_ZONE_COST_MS : crossZoneMs;
+  return FAILURE_COST_MS * state.failureRate + zoneMs;
+}
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -14,15 +14,29 @@
   STALL_FACTOR,
   TIME_SMOOTHING_FACTOR,
 } from './constants.js';
+import {UpstreamSpeed} from './estimates/upstream_speed.js';
 import type {EndReport, ReportedLoad, RunEnd, UpstreamSpec} from './types.js';
 
 /** A granted request that occupies a slot until its end is reported. */
 export interface ActiveRun {
   readonly requestId: string;
   readonly entryId: string;
+  /** Prompt tokens that the upstream has to read. */
   readonly promptTokens: number;
+  /** Tier of the request; Infinity if it is not known. */
+  readonly tier: number;
+  /**
+   * Longest acceptable milliseconds between two events; null without a bound, or
+   * if the stream is late anyhow.
+   */
+  readonly maxEventGapMs: number | null;
   readonly grantedAtMs: number;
   readonly expectedStartMs: number;
+  /**
+   * Milliseconds in which an upstream of median speed would read its prompt and
+   * those before it; 0 without prompts.
+   */
+  readonly medianReadMs: number;
   hasStarted: boolean;
   /** Time at which it was granted or its entry last reported it. */
   confirmedAtMs: number;
@@ -45,6 +59,10 @@
    * Null before the first sample.
    */
   serviceTimeMs: number | null = null;
+  /** Its speed as learnt from prompts; apart from `serviceTimeMs`. */
+  readonly speed = new UpstreamSpeed();
+  /** Time at which a run last sent its first byte. */
+  lastStartAtMs = -Infinity;
   /** Moving average of the share of failed runs, from 0 to 1. */
   failureRate = 0;
   /** Time in milliseconds of the last rejection. */
@@ -108,8 +126,11 @@
       requestId,
       entryId,
       promptTokens: 0,
+      tier: Infinity,
+      maxEventGapMs: null,
       grantedAtMs: nowMs,
       expectedStartMs: 0,
+      medianReadMs: 0,
       hasStarted: true,
       confirmedAtMs: nowMs,
     });
@@ -131,6 +152,7 @@
     const run = this.runs.get(requestId);
     if (run) {
       run.hasStarted = true;
+      this.lastStartAtMs = nowMs;
       this.recordResponse(run, nowMs);
     }
     this.applyLoad(load, nowMs);
@@ -177,6 +199,12 @@
     return Math.max(0, this.spec.slots - this.toldExternalRuns - accepted);
   }
 
+  /** The first granted run that has not sent a first byte yet. */
+  firstUnstarted(): ActiveRun | null {
+    for (const run of this.runs.values()) if (!run.hasStarted) return run;
+    return null;
+  }
+
   /** Prompt tokens of the runs that have not sent a first byte yet. */
   pendingPromptTokens(): number {
     let tokens = 0;
