--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -4,13 +4,18 @@
   EndReport,
   GrantRequest,
   QueueAnswer,
+  QueuePreview,
+  QueueStats,
   RetryBudgetBounds,
   StartReport,
   UpstreamLimits,
   UpstreamSpec,
+  VersionGate,
 } from '@fescuespool/scheduling';
 import {
   DispatchQueue,
+  OPEN_GATE,
+  queueStats,
   RetryBudget,
   UpstreamPauses,
   UpstreamRateLimiter,
@@ -49,6 +54,9 @@
     private readonly isOwner: (service: string) => boolean,
     /** Whether there are members that this one can't reach. */
     private readonly hasSuspects: () => boolean,
+    /** Decides which versions of a service may get requests. */
+    private readonly versionGateOf: (service: string) => VersionGate = () =>
+      OPEN_GATE,
   ) {
     this.rateLimiter = new UpstreamRateLimiter(upstreamLimits, this.pauses);
   }
@@ -65,6 +73,12 @@
     );
   }
 
+  /** Where a request would go now; opens no queue and changes none. */
+  preview(service: string, request: GrantRequest): QueuePreview {
+    const queue = this.queues.get(service) ?? this.createQueue(service);
+    return queue.preview(request);
+  }
+
   /** Removes a waiting request from its queue without answering it. */
   cancel(service: string, requestId: string): void {
     this.queues.get(service)?.cancel(requestId);
@@ -140,12 +154,11 @@
     }
   }
 
-  /** Number of waiting and running requests per queue, for metrics. */
-  queueStats(): {service: string; waiting: number; running: number}[] {
+  /** Present figures of each queue, for metrics. */
+  queueStats(): (QueueStats & {service: string})[] {
     return [...this.queues].map(([service, queue]) => ({
       service,
-      waiting: queue.waitingCount,
-      running: queue.runningCount,
+      ...queueStats(queue),
     }));
   }
 
@@ -159,16 +172,22 @@
   private queueFor(service: string): DispatchQueue {
     const existing = this.queues.get(service);
     if (existing) return existing;
+    const queue = this.createQueue(service);
+    this.queues.set(service, queue);
+    if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
+    this.log.info('queue_opened', {service});
+    return queue;
+  }
+
+  private createQueue(service: string): DispatchQueue {
     const queue = new DispatchQueue({
       nowMs: this.clock.monotonicMs,
       retryBudget: new RetryBudget(this.retryBudgetBounds),
       rateLimiter: this.rateLimiter,
       mayHaveOtherOwner: this.hasSuspects,
+      versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
-    this.queues.set(service, queue);
-    if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
-    this.log.info('queue_opened', {service});
     return queue;
   }
 
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,39 +1,37 @@
-import {LRUCache} from 'lru-cache';
 import {BrittleGuard} from './brittle_guard.js';
 import {
   ENTRY_TIMEOUT_MS,
-  MAX_REFUSED_FINGERPRINTS,
-  MAX_RETRY_AFTER_MS,
-  MAX_WAITING,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
   QUEUE_REFUSAL,
-  REFUSED_FINGERPRINT_TTL_MS,
   RUN_END,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
-import type {PlacementChange} from './placing/placement_pass.js';
+import type {GrantRecord, PlacementChange} from './placing/placement_pass.js';
 import {PlacementPass} from './placing/placement_pass.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
-import {lackOf} from './required_version.js';
-import {retryAfterMs} from './retry_after.js';
+import {PromptPrefixes} from './prefix/prompt_prefixes.js';
+import type {QueuePreview} from './preview/queue_preview.js';
+import {previewRequest} from './preview/queue_preview.js';
+import {AccountShares} from './fairness/account_shares.js';
+import {RefusalPolicy} from './refusals/refusal_policy.js';
+import type {ReturnCounts} from './refusals/return_ledger.js';
+import type {VersionGate} from './rollout/index.js';
+import {GatedUpstreams, OPEN_GATE} from './rollout/index.js';
 import type {RetryBudget} from './retry_budget.js';
 import type {
   EndedRun,
   EndReport,
   GrantRequest,
   QueueAnswer,
-  QueueRefusal,
   StartReport,
   UpstreamSpec,
 } from './types.js';
-import type {HeldTokens} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
 import {WaitingList} from './waiting_list.js';
-import type {WaitingRequest} from './waiting_request.js';
 
 /** Clock and retry budget that a queue is created with. */
 export interface DispatchQueueOptions {
@@ -43,8 +41,8 @@
   readonly rateLimiter: UpstreamRateLimiter;
   /** Whether a member that can't be reached may own the queue as well. */
   readonly mayHaveOtherOwner: () => boolean;
-  /** What upstreams hold of a prompt; nothing if unset. */
-  readonly heldTokens?: HeldTokens;
+  /** Decides which software versions may get a request; all without it. */
+  readonly versionGate?: () => VersionGate;
 }
 
 /**
@@ -56,20 +54,29 @@
 export class DispatchQueue {
   /** Upstreams of the service by instance id. */
   readonly upstreams = new Map<string, UpstreamState>();
+  /** Parts of prompts that the upstreams hold. */
+  readonly prefixes: PromptPrefixes;
+  private readonly gated: GatedUpstreams;
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
   private readonly placement: PlacementPass;
   private readonly entryMonitor = new EntryMonitor();
-  /** Fingerprints of refused requests that their callers may repeat. */
-  private readonly refusedFingerprints = new LRUCache<string, true>({
-    max: MAX_REFUSED_FINGERPRINTS,
-    ttl: REFUSED_FINGERPRINT_TTL_MS,
+  private readonly shares = new AccountShares();
+  private readonly refusals = new RefusalPolicy({
+    waiting: this.waiting,
+    ratesAt: nowMs => this.rateEstimator(nowMs),
+    staying: () => this.gated.staying(this.options.nowMs()),
+    onRefused: ({isRetry}) => {
+      if (isRetry) this.options.retryBudget.giveBack();
+    },
   });
-
   private readonly brittleGuard: BrittleGuard;
 
   constructor(private readonly options: DispatchQueueOptions) {
     const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
+    const {versionGate = () => OPEN_GATE} = options;
+    this.gated = new GatedUpstreams(this.upstreams, versionGate);
+    this.prefixes = new PromptPrefixes(this.latency);
     this.brittleGuard = new BrittleGuard(
       rateLimiter,
       mayHaveOtherOwner,
@@ -80,7 +87,10 @@
       latency: this.latency,
       rateLimiter,
       brittleGuard: this.brittleGuard,
-      heldTokens: options.heldTokens ?? (() => 0),
+      gated: this.gated,
+      heldTokens: this.prefixes.heldTokens,
+      recordGrant: (request, state, now) =>
+        this.recordGrant(request, state, now),
     });
   }
 
@@ -94,11 +104,9 @@
     return this.waiting.size;
   }
 
-  /** Number of granted requests that have not ended. */
-  get runningCount(): number {
-    let count = 0;
-    for (const state of this.upstreams.values()) count += state.runs.size;
-    return count;
+  /** What became of callers that were told to come back. */
+  get returnCounts(): ReturnCounts {
+    return this.refusals.returnCounts;
   }
 
   /** Queues a request; `answer` gets its placement or refusal, now or later. */
@@ -114,31 +122,35 @@
       });
       return;
     }
-    const minStartMs = this.latency.minStartMs(
-      this.upstreams.values(),
-      request.promptTokens,
-    );
-    const wasRefused = this.refusedFingerprints.has(request.fingerprint);
-    const waiting = {
-      request,
-      answer,
-      arrivedAtMs: now,
-      objectiveAtMs: now + request.objectiveLeftMs,
-      // Placed later, the request could not start while its caller waits.
-      placementDeadlineMs: now + request.patienceLeftMs - minStartMs,
-      wasRefused,
-      // The objective counts from the caller's first attempt.
-      isLate: wasRefused,
-    };
-    const refusal = this.admit(waiting, now);
-    if (refusal) {
-      this.refuse(waiting, refusal);
-      return;
-    }
+    const idleStartMs = this.idleStartMs(request.promptTokens);
+    const waiting = this.refusals.receive(request, answer, idleStartMs, now);
+    this.shares.recordWanted(request, now);
+    waiting.shareLevel = this.shares.levelOf(request, now);
+    if (!this.refusals.admit(waiting, now)) return;
     this.waiting.add(waiting);
     this.placeWaiting({request: waiting});
   }
 
+  /** Where a request would go now, and why; changes nothing. */
+  preview(request: GrantRequest): QueuePreview {
+    const now = this.options.nowMs();
+    const idleStartMs = this.idleStartMs(request.promptTokens);
+    const forecast = this.refusals.forecast(request, idleStartMs, now);
+    const {placement} = this;
+    const usable = this.gated.usableOfAnyVersion(now);
+    return previewRequest({
+      ...forecast,
+      nowMs: now,
+      states: [...this.upstreams.values()],
+      free: usable.filter(state => placement.hasRoom(state, now)),
+      rateLimiter: this.options.rateLimiter,
+      waitingCount: this.waiting.size,
+      choose: asked => placement.preview(asked, usable, now),
+      estimate: state => placement.estimate(request, state),
+      heldTokens: this.prefixes.heldTokens,
+    });
+  }
+
   /** Removes a waiting request without answering it. */
   cancel(requestId: string): void {
     const waiting = this.waiting.remove(requestId);
@@ -151,7 +163,10 @@
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
-      this.latency.observeStart(state, run, report, now);
+      const readTokens = this.prefixes.recordStart(state, run, report.startMs);
+      this.latency.observeStart(state, run, {...report, readTokens}, now);
+      const idleStartMs = this.idleStartMs(readTokens);
+      this.refusals.recordStart(idleStartMs, report.startMs);
       state.recordStart(report.requestId, report.load, now);
       this.placement.recordChange(state);
       return;
@@ -164,6 +179,7 @@
    */
   handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
+    this.gated.gate.recordEnd(report, now);
     if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
     let ended: EndedRun | null = null;
     let change: PlacementChange | null = null;
@@ -171,11 +187,12 @@
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
+      this.prefixes.recordEnd(state, report);
       state.recordEnd(report, now);
       change = {state};
       this.placement.recordChange(state);
       if (report.end === RUN_END.COMPLETED) {
-        this.latency.observeRun(this.upstreams.values(), state, report);
+        this.latency.observeRun(this.upstreams.values(), state, report, run);
       }
       ended = {
         instanceId: state.spec.instanceId,
@@ -242,7 +259,11 @@
   /** Refuses requests that can't start in time, drops lost runs, places others. */
   tick(): void {
     const now = this.options.nowMs();
-    if (this.waiting.size > 0) this.refuseUnplaceable(now);
+    this.gated.observe(now);
+    if (this.waiting.size > 0) {
+      this.waiting.updateShareLevels(req => this.shares.levelOf(req, now));
+      this.refusals.refuseUnplaceable(now);
+    }
     this.entryMonitor.dropRuns(
       this.upstreams.values(),
       now,
@@ -261,68 +282,14 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
-  /** Refuses requests that can't start in time, or that nothing can serve. */
-  private refuseUnplaceable(now: number): void {
-    const {EXPIRED, OVERLOADED} = QUEUE_REFUSAL;
-    const {staying} = this;
-    const unplaceable = this.waiting.takeUnplaceable(
-      now,
-      this.rateEstimator(now),
-    );
-    const unserved = this.waiting.takeWhere(
-      ({request}) => lackOf(request, staying) !== null,
-    );
-    for (const waiting of [...unserved, ...unplaceable]) {
-      const isExpired = waiting.placementDeadlineMs <= now;
-      const reason = isExpired ? EXPIRED : OVERLOADED;
-      this.refuse(waiting, lackOf(waiting.request, staying) ?? reason);
-    }
-  }
-
-  /** Upstreams that are not leaving. */
-  private get staying(): UpstreamSpec[] {
-    const specs = [...this.upstreams.values()].map(({spec}) => spec);
-    return specs.filter(({isLeaving}) => !isLeaving);
-  }
-
-  /** Reason to refuse a new request, or null if it may be queued. */
-  private admit(waiting: WaitingRequest, now: number): QueueRefusal | null {
-    const {request, placementDeadlineMs} = waiting;
-    const lack = lackOf(request, this.staying);
-    if (lack) return lack;
-    if (placementDeadlineMs <= now) return QUEUE_REFUSAL.EXPIRED;
-    if (this.waiting.size >= MAX_WAITING) {
-      const last = this.waiting.takeLastBelowTier(request.tier);
-      if (!last) return QUEUE_REFUSAL.OVERLOADED;
-      this.refuse(last, QUEUE_REFUSAL.OVERLOADED);
-    }
-    const rates = this.rateEstimator(now);
-    const placedAtMs = now + this.expectedWaitMs(waiting, rates);
-    return placedAtMs > placementDeadlineMs ? QUEUE_REFUSAL.OVERLOADED : null;
-  }
-
-  /** Refuses a request and remembers its fingerprint, in case it is repeated. */
-  private refuse(waiting: WaitingRequest, reason: QueueRefusal): void {
-    const rates = this.rateEstimator(this.options.nowMs());
-    const waitMs = this.expectedWaitMs(waiting, rates);
-    const {request, answer} = waiting;
-    const afterMs = retryAfterMs(waitMs, rates.rateFor(request));
-    if (request.isRetry) this.options.retryBudget.giveBack();
-    this.refusedFingerprints.set(request.fingerprint, true);
-    answer({kind: 'refused', reason, retryAfterMs: afterMs});
-  }
-
-  /** Expected milliseconds until the requests ahead of this one are placed. */
-  private expectedWaitMs(
-    waiting: WaitingRequest,
-    rates: RateEstimator,
-  ): number {
-    return this.waiting.expectedWaitMs(waiting, rates, MAX_RETRY_AFTER_MS);
+  /** Expected milliseconds to the first byte on the fastest idle upstream. */
+  private idleStartMs(promptTokens: number): number {
+    return this.latency.minStartMs(this.upstreams.values(), promptTokens);
   }
 
   private rateEstimator(now: number): RateEstimator {
     return createRateEstimator(
-      this.usable(now),
+      this.gated.usable(now),
       this.waiting.requiredVersions,
       this.latency,
       this.options.rateLimiter,
@@ -330,13 +297,24 @@
     );
   }
 
-  private usable(now: number): UpstreamState[] {
-    return [...this.upstreams.values()].filter(state => state.isUsable(now));
-  }
-
   private placeWaiting(change: PlacementChange | null = null): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    this.placement.run(this.usable(now), now, change);
+    this.placement.run(this.gated.usableOfAnyVersion(now), now, change);
+  }
+
+  /** Accounts for a grant that is about to be made. */
+  private recordGrant(
+    request: GrantRequest,
+    state: UpstreamState,
+    now: number,
+  ): GrantRecord {
+    if (this.waiting.hasOtherAccount(request)) {
+      this.shares.recordContested(request, now);
+    }
+    const states = this.upstreams.values();
+    const held = this.prefixes.recordGrant(state, request, states);
+    const isTrial = this.gated.gate.recordGrant(request, state.spec, now);
+    return {...held, isTrial};
   }
 }
--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -18,9 +18,6 @@
 const SHORTER_GAP_WEIGHT = 0.2;
 const LONGER_GAP_WEIGHT = 0.02;
 
-/** Number of known upstreams from which their median counts. */
-const MIN_KNOWN_UPSTREAMS = 3;
-
 /** Predicts the start and run times of a service from samples of its upstreams. */
 export class LatencyEstimator {
   private readonly model = new StartTimeModel();
@@ -31,8 +28,8 @@
   private meanEventGapMs = INITIAL_EVENT_GAP_MS;
   /** Median service time of the upstreams; null before the first sample. */
   private medianServiceTimeMs: number | null = null;
-  /** Median lasting ratio of the upstreams that have read prompts. */
-  private medianRatio = 1;
+  /** Median lasting ratio of the upstreams; null before the first stream with a bound. */
+  private medianRatio: number | null = null;
 
   /** Times of the median upstream of the service. */
   readonly times: ServiceTimes = {
@@ -42,26 +39,29 @@
     eventGapMs: () => this.eventGapMs,
   };
 
-  /** Adds a sample of the time to the first byte, and the load told with it. */
+  /**
+   * Adds a sample of the time to the first byte, in which the upstream read
+   * `readTokens`, and the load told with it.
+   */
   observeStart(
     state: UpstreamState,
-    {promptTokens, medianReadMs}: ActiveRun,
-    {startMs, load}: StartReport,
+    run: ActiveRun,
+    {startMs, load, readTokens}: StartReport & {readTokens: number},
     nowMs: number,
   ): void {
     const {speed} = state;
     const told = speed.recordLoad(load, nowMs);
     if (told !== null) this.slowdowns.observe(told);
-    if (medianReadMs === 0) {
-      this.model.observe(promptTokens, startMs / this.slowdownOf(state));
+    if (run.medianReadMs === 0) {
+      this.model.observe(readTokens, startMs / this.slowdownOf(state));
       return;
     }
     const baseMs = this.model.predictMs(0);
     const workMs = (startMs - baseMs) / Math.max(1, speed.slowdownAt(nowMs));
-    speed.record(workMs, medianReadMs);
-    const aheadMs = medianReadMs - this.model.prefillMs(promptTokens);
+    const aheadMs = run.medianReadMs - this.model.prefillMs(run.promptTokens);
+    speed.record(workMs, aheadMs + this.model.prefillMs(readTokens));
     const ownMs = workMs / this.slowdownOf(state) - aheadMs;
-    this.model.observe(promptTokens, Math.max(1, baseMs + ownMs));
+    this.model.observe(readTokens, Math.max(1, baseMs + ownMs));
   }
 
   /** Adds a sample of a whole run and updates the medians. */
@@ -69,8 +69,10 @@
     states: Iterable<UpstreamState>,
     state: UpstreamState,
     {runMs, eventGapMs}: EndReport,
+    {medianReadMs}: Pick<ActiveRun, 'medianReadMs'>,
   ): void {
-    if (eventGapMs !== null && eventGapMs > 0) {
+    const isTimed = medianReadMs > 0;
+    if (isTimed && eventGapMs !== null && eventGapMs > 0) {
       state.speed.record(eventGapMs, this.meanEventGapMs);
       const sampleMs = eventGapMs / this.slowdownOf(state);
       this.meanEventGapMs +=
@@ -88,8 +90,7 @@
       if (speed.lastingRatio !== null) ratios.push(speed.lastingRatio);
     }
     this.medianServiceTimeMs = medianOf(serviceTimes);
-    const isKnown = ratios.length >= MIN_KNOWN_UPSTREAMS;
-    this.medianRatio = (isKnown && medianOf(ratios)) || 1;
+    this.medianRatio = medianOf(ratios);
   }
 
   /**
@@ -107,7 +108,9 @@
 
   private ratioOf({speed}: UpstreamState): number | null {
     const {lastingRatio} = speed;
-    return lastingRatio === null ? null : lastingRatio / this.medianRatio;
+    return lastingRatio === null
+      ? null
+      : lastingRatio / (this.medianRatio ?? 1);
   }
 
   /** Expected milliseconds of a run on an upstream. */
@@ -115,16 +118,16 @@
     return this.meanRunMs * this.slowdownOf(state);
   }
 
+  /** Expected milliseconds that reading prompt tokens takes on an upstream. */
+  prefillMs(state: UpstreamState, promptTokens: number): number {
+    return this.slowdownOf(state) * this.model.prefillMs(promptTokens);
+  }
+
   /** Expected milliseconds to the first byte, after the prompts already sent. */
-  predictStartMs(
-    state: UpstreamState,
-    promptTokens: number,
-    nowMs: number,
-  ): number {
-    const waitMs = this.model.prefillMs(this.unreadTokens(state, nowMs));
-    return (
-      this.slowdownOf(state) * (waitMs + this.model.predictMs(promptTokens))
-    );
+  predictStartMs(state: UpstreamState, promptTokens: number): number {
+    const waitMs = this.model.prefillMs(state.pendingPromptTokens());
+    const ownMs = this.model.predictMs(promptTokens);
+    return this.slowdownOf(state) * (waitMs + ownMs);
   }
 
   /**
@@ -158,7 +161,9 @@
     let min = Infinity;
     for (const state of states) min = Math.min(min, this.slowdownOf(state));
     if (min === Infinity) return 0;
-    if (promptTokens === 0) return min * this.model.predictMs(0);
+    // Only the reading of a prompt is known to go by an upstream's own speed.
+    if (this.medianRatio === null)
+      return min * this.model.predictMs(promptTokens);
     return this.model.predictMs(0) + min * this.model.prefillMs(promptTokens);
   }
 
@@ -181,5 +186,5 @@
 
 function medianOf(samples: number[]): number | null {
   samples.sort((a, b) => a - b);
-  return samples[Math.floor(samples.length / 2)] ?? null;
+  return samples[Math.floor((samples.length - 1) / 2)] ?? null;
 }
--- a/packages/scheduling/src/placing/placement_pass.ts
+++ b/packages/scheduling/src/placing/placement_pass.ts
@@ -2,7 +2,10 @@
 import {PLACEMENT_WINDOW} from '../constants.js';
 import type {LatencyEstimator} from '../latency_estimator.js';
 import {hasRequiredVersion} from '../required_version.js';
-import type {Candidate, HeldTokens} from '../upstream_choice.js';
+import type {HeldTokens, HeldPrompt} from '../prefix/prompt_prefixes.js';
+import type {GatedUpstreams} from '../rollout/index.js';
+import type {GrantRequest} from '../types.js';
+import type {Candidate, UpstreamChoice} from '../upstream_choice.js';
 import {UpstreamChooser} from '../upstream_choice.js';
 import type {UpstreamRateLimiter} from '../upstream_rate_limiter.js';
 import type {UpstreamState} from '../upstream_state.js';
@@ -35,7 +38,20 @@
   readonly latency: LatencyEstimator;
   readonly rateLimiter: UpstreamRateLimiter;
   readonly brittleGuard: BrittleGuard;
+  readonly gated: GatedUpstreams;
   readonly heldTokens: HeldTokens;
+  /** Accounts for a grant before it is made. */
+  readonly recordGrant: (
+    request: GrantRequest,
+    state: UpstreamState,
+    nowMs: number,
+  ) => GrantRecord;
+}
+
+/** What accounting for a grant found out. */
+export interface GrantRecord extends HeldPrompt {
+  /** Whether it tries a software version that is rolled out. */
+  readonly isTrial: boolean;
 }
 
 /** Places the waiting requests of a queue on upstreams with room. */
@@ -95,13 +111,14 @@
     only: WaitingRequest | null,
     nowMs: number,
   ): UpstreamState[] | null {
-    const {waiting, rateLimiter} = this.options;
+    const {waiting, rateLimiter, gated} = this.options;
     let open = free;
     const mayUse = ({request}: WaitingRequest): boolean =>
       free.some(
-        ({spec}) =>
-          hasRequiredVersion(request, spec) &&
-          !rateLimiter.isPausedFor(request, spec, nowMs),
+        state =>
+          hasRequiredVersion(request, state.spec) &&
+          !rateLimiter.isPausedFor(request, state.spec, nowMs) &&
+          gated.mayTake(request, state, nowMs),
       );
     const first =
       only === null
@@ -109,7 +126,7 @@
         : [only].filter(mayUse);
     for (const candidate of first) {
       if (open.length === 0) return null;
-      const choice = this.chooser.choose(candidate, usable, open, nowMs);
+      const choice = gated.choose(this.chooser, candidate, usable, open, nowMs);
       if (choice === 'late') {
         waiting.markLate(candidate);
         return open;
@@ -124,7 +141,25 @@
     return null;
   }
 
-  private hasRoom(state: UpstreamState, nowMs: number): boolean {
+  /** Where a request would go now; changes nothing. */
+  preview(
+    asked: WaitingRequest,
+    usable: readonly UpstreamState[],
+    nowMs: number,
+  ): UpstreamChoice {
+    const free = usable.filter(state => this.hasRoom(state, nowMs));
+    this.chooser.startPass(usable);
+    const {gated} = this.options;
+    return gated.choose(this.chooser, asked, usable, free, nowMs);
+  }
+
+  /** Estimates the cost of a request at an upstream. */
+  estimate(request: GrantRequest, state: UpstreamState): Candidate {
+    return this.chooser.estimateCost(request, state);
+  }
+
+  /** Whether an upstream can take a request now. */
+  hasRoom(state: UpstreamState, nowMs: number): boolean {
     const {rateLimiter, brittleGuard} = this.options;
     return (
       state.freeSlots(nowMs) > 0 &&
@@ -142,9 +177,12 @@
     const {rateLimiter, latency} = this.options;
     const {requestId, entryId, tier, maxEventGapMs} = request;
     const freeSlots = state.freeSlots(nowMs);
-    const unreadTokens =
-      readTokens === 0 ? 0 : latency.unreadTokens(state, nowMs);
-    const medianReadMs = latency.times.readMs(unreadTokens + readTokens);
+    const isTimed = maxEventGapMs !== null && readTokens > 0;
+    const unreadTokens = isTimed ? latency.unreadTokens(state, nowMs) : 0;
+    const medianReadMs = isTimed
+      ? latency.times.readMs(unreadTokens + readTokens)
+      : 0;
+    const record = this.options.recordGrant(request, state, nowMs);
     rateLimiter.take(state.spec, nowMs);
     state.runs.set(requestId, {
       requestId,
@@ -168,6 +206,7 @@
         freeSlots,
         isOnTrial: state.isOnTrial,
         rateLimitPerS: rateLimiter.limitOf(state.spec, nowMs),
+        ...record,
       },
     });
   }
--- a/packages/scheduling/src/placing/stream_placer.ts
+++ b/packages/scheduling/src/placing/stream_placer.ts
@@ -1,11 +1,8 @@
 import {RUN_TIME_WEIGHT} from '../constants.js';
 import type {LatencyEstimator} from '../latency_estimator.js';
+import type {HeldTokens} from '../prefix/prompt_prefixes.js';
 import type {GrantRequest} from '../types.js';
-import type {
-  Candidate,
-  HeldTokens,
-  UpstreamChoice,
-} from '../upstream_choice.js';
+import type {Candidate, UpstreamChoice} from '../upstream_choice.js';
 import type {UpstreamState} from '../upstream_state.js';
 import type {WaitingRequest} from '../waiting_request.js';
 import {LaterRoom} from './later_room.js';
@@ -161,7 +158,7 @@
     nowMs: number,
   ): Candidate {
     const outlook = this.outlookAt(state, nowMs);
-    const held = this.heldTokens(state, request, nowMs);
+    const held = this.heldTokens(state, request);
     const readTokens = Math.max(0, request.promptTokens - held);
     const startMs = startMsOf(readTokens, outlook, this.latency.times);
     const costMs =
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -22,6 +22,8 @@
   readonly objectiveLeftMs: number;
   /** Milliseconds left until the caller stops waiting for the first byte. */
   readonly patienceLeftMs: number;
+  /** Milliseconds left of its time limit; null from gateways that don't tell. */
+  readonly timeLeftMs: number | null;
   /** Whether the request may safely run more than once. */
   readonly isRepeatable: boolean;
   /** Whether an earlier send of this request may have reached an upstream. */
@@ -97,6 +99,15 @@
   readonly isOnTrial: boolean;
   /** Limit of the upstream in requests per second; null for none. */
   readonly rateLimitPerS: number | null;
+  /** Tokens of the prompt that the upstream is taken to hold. */
+  readonly heldTokens: number;
+  /** Tokens of the prompt that it reads although another one holds them. */
+  readonly rereadTokens: number;
+  /**
+   * Whether the owner of the queue permits it for a roll-out to the upstream's
+   * version.
+   */
+  readonly isTrial: boolean;
 }
 
 /** A run whose end was reported, and what that did to its upstream. */
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -5,6 +5,7 @@
   RUN_TIME_WEIGHT,
 } from './constants.js';
 import type {LatencyEstimator} from './latency_estimator.js';
+import type {HeldTokens} from './prefix/prompt_prefixes.js';
 import {StreamPlacer} from './placing/stream_placer.js';
 import {hasRequiredVersion} from './required_version.js';
 import type {GrantRequest} from './types.js';
@@ -37,16 +38,6 @@
   return states.filter(({spec}) => hasRequiredVersion(request, spec));
 }
 
-/**
- * Tokens of a request's prompt that an upstream still holds, so that it need not
- * read them.
- */
-export type HeldTokens = (
-  state: UpstreamState,
-  request: GrantRequest,
-  nowMs: number,
-) => number;
-
 /** Chooses upstreams for waiting requests by their estimated cost. */
 export class UpstreamChooser {
   /** Places streams whose route bounds the time between two events. */
@@ -123,7 +114,7 @@
     if (request.maxEventGapMs !== null && request.promptTokens > 0) {
       return this.streams.choose(waiting, candidates, nowMs);
     }
-    const best = this.findCheapest(request, candidates, nowMs);
+    const best = this.findCheapest(request, candidates);
     if (!best) return 'wait';
     if (waiting.isLate) return best;
     const leftMs = waiting.objectiveAtMs - nowMs;
@@ -134,25 +125,20 @@
   private findCheapest(
     request: GrantRequest,
     states: readonly UpstreamState[],
-    nowMs: number,
   ): Candidate | null {
     let best: Candidate | null = null;
     for (const state of states) {
-      const candidate = this.estimateCost(request, state, nowMs);
+      const candidate = this.estimateCost(request, state);
       if (!best || candidate.costMs < best.costMs) best = candidate;
     }
     return best;
   }
 
   /** Estimates the cost of a request at an upstream in milliseconds. */
-  private estimateCost(
-    request: GrantRequest,
-    state: UpstreamState,
-    nowMs: number,
-  ): Candidate {
-    const held = this.heldTokens(state, request, nowMs);
+  estimateCost(request: GrantRequest, state: UpstreamState): Candidate {
+    const held = this.heldTokens(state, request);
     const readTokens = Math.max(0, request.promptTokens - held);
-    const startMs = this.latency.predictStartMs(state, readTokens, nowMs);
+    const startMs = this.latency.predictStartMs(state, readTokens);
     const costMs =
       startMs +
       RUN_TIME_WEIGHT * this.latency.predictRunMs(state) +
@@ -173,9 +159,7 @@
         this.latency.predictRunMs(state) / slots,
         this.rateLimiter.waitMsFor(request, state.spec, nowMs),
       );
-      return (
-        roomWaitMs + this.estimateCost(request, state, nowMs).startMs <= leftMs
-      );
+      return roomWaitMs + this.estimateCost(request, state).startMs <= leftMs;
     });
   }
 }
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -34,7 +34,7 @@
   readonly expectedStartMs: number;
   /**
    * Milliseconds in which an upstream of median speed would read its prompt and
-   * those before it; 0 without prompts.
+   * those before it; 0 for a request that is not a stream with a bound.
    */
   readonly medianReadMs: number;
   hasStarted: boolean;
