--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -3,12 +3,13 @@
   ENTRY_TIMEOUT_MS,
   MIN_RECONCILE_AGE_MS,
   MIN_RETRY_AFTER_MS,
-  PLACEMENT_WINDOW,
   QUEUE_REFUSAL,
   RUN_END,
 } from './constants.js';
 import {EntryMonitor} from './entry_monitor.js';
 import {LatencyEstimator} from './latency_estimator.js';
+import type {GrantRecord, PlacementChange} from './placing/placement_pass.js';
+import {PlacementPass} from './placing/placement_pass.js';
 import type {RateEstimator} from './placement_rate.js';
 import {createRateEstimator} from './placement_rate.js';
 import {PromptPrefixes} from './prefix/prompt_prefixes.js';
@@ -17,7 +18,6 @@
 import {AccountShares} from './fairness/account_shares.js';
 import {RefusalPolicy} from './refusals/refusal_policy.js';
 import type {ReturnCounts} from './refusals/return_ledger.js';
-import {hasRequiredVersion} from './required_version.js';
 import type {VersionGate} from './rollout/index.js';
 import {GatedUpstreams, OPEN_GATE} from './rollout/index.js';
 import type {RetryBudget} from './retry_budget.js';
@@ -29,12 +29,9 @@
   StartReport,
   UpstreamSpec,
 } from './types.js';
-import type {Candidate} from './upstream_choice.js';
-import {UpstreamChooser} from './upstream_choice.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import {UpstreamState} from './upstream_state.js';
 import {WaitingList} from './waiting_list.js';
-import type {WaitingRequest} from './waiting_request.js';
 
 /** Clock and retry budget that a queue is created with. */
 export interface DispatchQueueOptions {
@@ -62,7 +59,7 @@
   private readonly gated: GatedUpstreams;
   private readonly waiting = new WaitingList();
   private readonly latency = new LatencyEstimator();
-  private readonly chooser: UpstreamChooser;
+  private readonly placement: PlacementPass;
   private readonly entryMonitor = new EntryMonitor();
   private readonly shares = new AccountShares();
   private readonly refusals = new RefusalPolicy({
@@ -80,13 +77,21 @@
     const {versionGate = () => OPEN_GATE} = options;
     this.gated = new GatedUpstreams(this.upstreams, versionGate);
     this.prefixes = new PromptPrefixes(this.latency);
-    const {heldTokens} = this.prefixes;
-    this.chooser = new UpstreamChooser(this.latency, rateLimiter, heldTokens);
     this.brittleGuard = new BrittleGuard(
       rateLimiter,
       mayHaveOtherOwner,
       nowMs(),
     );
+    this.placement = new PlacementPass({
+      waiting: this.waiting,
+      latency: this.latency,
+      rateLimiter,
+      brittleGuard: this.brittleGuard,
+      gated: this.gated,
+      heldTokens: this.prefixes.heldTokens,
+      recordGrant: (request, state, now) =>
+        this.recordGrant(request, state, now),
+    });
   }
 
   /** Retry budget of the service. */
@@ -123,7 +128,7 @@
     waiting.shareLevel = this.shares.levelOf(request, now);
     if (!this.refusals.admit(waiting, now)) return;
     this.waiting.add(waiting);
-    this.placeWaiting();
+    this.placeWaiting({request: waiting});
   }
 
   /** Where a request would go now, and why; changes nothing. */
@@ -131,19 +136,18 @@
     const now = this.options.nowMs();
     const idleStartMs = this.idleStartMs(request.promptTokens);
     const forecast = this.refusals.forecast(request, idleStartMs, now);
-    const {gated, chooser} = this;
-    const usable = gated.usableOfAnyVersion(now);
-    const free = usable.filter(state => this.hasRoom(state, now));
+    const {placement} = this;
+    const usable = this.gated.usableOfAnyVersion(now);
     return previewRequest({
       ...forecast,
       nowMs: now,
       states: [...this.upstreams.values()],
-      free,
+      free: usable.filter(state => placement.hasRoom(state, now)),
       rateLimiter: this.options.rateLimiter,
       mayTake: state => gated.mayTake(request, state, now),
       waitingCount: this.waiting.size,
-      choose: asked => gated.choose(chooser, asked, usable, free, now),
-      estimate: state => chooser.estimateCost(request, state),
+      choose: asked => placement.preview(asked, usable, now),
+      estimate: state => placement.estimate(request, state),
       heldTokens: this.prefixes.heldTokens,
     });
   }
@@ -161,10 +165,11 @@
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const readTokens = this.prefixes.recordStart(state, run, report.startMs);
-      this.latency.observeStart(state, readTokens, report.startMs);
+      this.latency.observeStart(state, run, {...report, readTokens}, now);
       const idleStartMs = this.idleStartMs(readTokens);
       this.refusals.recordStart(idleStartMs, report.startMs);
       state.recordStart(report.requestId, report.load, now);
+      this.placement.recordChange(state);
       return;
     }
   }
@@ -178,14 +183,17 @@
     this.gated.gate.recordEnd(report, now);
     if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
     let ended: EndedRun | null = null;
+    let change: PlacementChange | null = null;
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
       this.prefixes.recordEnd(state, report);
       state.recordEnd(report, now);
+      change = {state};
+      this.placement.recordChange(state);
       if (report.end === RUN_END.COMPLETED) {
-        this.latency.observeRun(this.upstreams.values(), report.runMs);
+        this.latency.observeRun(this.upstreams.values(), state, report, run);
       }
       ended = {
         instanceId: state.spec.instanceId,
@@ -194,7 +202,7 @@
       };
       break;
     }
-    this.placeWaiting();
+    this.placeWaiting(change);
     return ended;
   }
 
@@ -237,6 +245,7 @@
       if (existing && isSame) existing.spec = spec;
       else this.upstreams.set(spec.instanceId, new UpstreamState(spec));
     }
+    this.placement.retain(this.upstreams.values());
     this.placeWaiting();
   }
 
@@ -289,85 +298,24 @@
     );
   }
 
-  private hasRoom(state: UpstreamState, now: number): boolean {
-    const {rateLimiter} = this.options;
-    return (
-      state.freeSlots(now) > 0 &&
-      rateLimiter.waitMs(state.spec, now) === 0 &&
-      this.brittleGuard.permits(state, now)
-    );
-  }
-
-  private placeWaiting(): void {
+  private placeWaiting(change: PlacementChange | null = null): void {
     if (this.waiting.size === 0) return;
     const now = this.options.nowMs();
-    const {gated} = this;
-    const usable = gated.usableOfAnyVersion(now);
-    let free = usable.filter(state => this.hasRoom(state, now));
-    if (free.length === 0) return;
-    const {rateLimiter} = this.options;
-    const waitingRequests = this.waiting.peek(PLACEMENT_WINDOW, ({request}) =>
-      free.some(
-        state =>
-          hasRequiredVersion(request, state.spec) &&
-          !rateLimiter.isPausedFor(request, state.spec, now) &&
-          gated.mayTake(request, state, now),
-      ),
-    );
-    for (const waiting of waitingRequests) {
-      if (free.length === 0) return;
-      const choice = gated.choose(this.chooser, waiting, usable, free, now);
-      if (choice === 'late') {
-        // It now queues behind its own tier, but still ahead of lower tiers.
-        this.waiting.markLate(waiting);
-        this.placeWaiting();
-        return;
-      }
-      if (choice === 'wait') continue;
-      this.waiting.remove(waiting.request.requestId);
-      this.grant(waiting, choice, now);
-      if (!this.hasRoom(choice.state, now)) {
-        free = free.filter(state => state !== choice.state);
-      }
-    }
+    this.placement.run(this.gated.usableOfAnyVersion(now), now, change);
   }
 
-  private grant(
-    waiting: WaitingRequest,
-    {state, startMs}: Candidate,
+  /** Accounts for a grant that is about to be made. */
+  private recordGrant(
+    request: GrantRequest,
+    state: UpstreamState,
     now: number,
-  ): void {
-    const {request} = waiting;
-    const {rateLimiter} = this.options;
+  ): GrantRecord {
     if (this.waiting.hasOtherAccount(request)) {
       this.shares.recordContested(request, now);
     }
-    const freeSlots = state.freeSlots(now);
     const states = this.upstreams.values();
     const held = this.prefixes.recordGrant(state, request, states);
     const isTrial = this.gated.gate.recordGrant(request, state.spec, now);
-    rateLimiter.take(state.spec, now);
-    state.runs.set(request.requestId, {
-      requestId: request.requestId,
-      entryId: request.entryId,
-      promptTokens: request.promptTokens - held.heldTokens,
-      grantedAtMs: now,
-      expectedStartMs: startMs,
-      hasStarted: false,
-      confirmedAtMs: now,
-    });
-    waiting.answer({
-      kind: 'placed',
-      placement: {
-        upstream: state.spec,
-        expectedStartMs: startMs,
-        waitedMs: now - waiting.arrivedAtMs,
-        freeSlots,
-        isOnTrial: state.isOnTrial,
-        rateLimitPerS: rateLimiter.limitOf(state.spec, now),
-        ...held,
-        isTrial,
-      },
-    });
+    return {...held, isTrial};
   }
 }
