Bound what a gateway holds for its callers

Bodies were read whole and chunk by chunk before key, route and room were looked at, and nothing bounded their sum: 60 unfinished bodies took a gateway of 200 MB to 351 MB, and 8 in chunks of one byte ended it. Bodies now share one budget with responses (a fifth of the memory limit), charged with the announced length before they are read; chooseDropped decides on plain data which one goes. Key and route are looked at first, and again after the body. Bodies are collected in one buffer, connections of very small chunks are read one after the other, the rest of a refused body is discarded for a bounded time, and each server bounds its connections by max_fds. The ready and metrics servers read no bodies; unfinished lines of peers are bounded together.

Not done: a least pace of readers, reading on for slow readers of streams.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -1,8 +1,8 @@
-import {BodyTooLargeError, readBody} from '@fescuespool/transport';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {admit, fingerprintOf} from './admission.js';
 import type {Admission} from './admission.js';
+import {ChunkPacer} from './chunk_pacer.js';
 import {
   CONFIG_AGE_MARGIN_MS,
   GATEWAY_REFUSAL,
@@ -14,6 +14,13 @@
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
 import {partIds} from './prompt_parts.js';
+import type {ReceivedBody} from './request_body.js';
+import {
+  discardRest,
+  isRestUnwanted,
+  limitRest,
+  readRequestBody,
+} from './request_body.js';
 import {RequestTimer} from './request_timer.js';
 import {RequestRun} from './request_run.js';
 import type {RequestHead} from './types.js';
@@ -31,6 +38,7 @@
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
   /** Whether responses close their connection, so that callers reconnect. */
   isDraining = false;
+  private readonly chunkPacer = new ChunkPacer();
   /** Whether new requests are refused and connections are being closed. */
   private isClosing = false;
 
@@ -61,6 +69,7 @@
     let head: RequestHead | null = null;
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
+    let body: ReceivedBody | null = null;
     let isCharged = false;
     let refusal: GatewayRefusalError | null = null;
     try {
@@ -72,20 +81,27 @@
       if (this.isClosing) {
         throw createStoppingRefusal();
       }
-      const body = await this.readBody(req, timer.signal);
       await this.gateway.whenConfigured();
+      // Looked at before the body is read, which holds memory.
+      const expected = this.admit(req, head);
+      limitTime(timer, expected, head);
+      body = await this.readBody(req, head, expected, timer);
+      // The configuration may have changed meanwhile.
       admission = this.admit(req, head);
-      const fingerprint = fingerprintOf(req.url ?? '', admission.account, body);
+      const fingerprint = fingerprintOf(
+        req.url ?? '',
+        admission.account,
+        body.bytes,
+      );
       this.refuseCrashSuspect(fingerprint, head);
       this.charge(admission, head.tokens !== null);
       isCharged = true;
-      const {timeoutMs} = admission.route;
-      timer.setTimeLimit(Math.min(timeoutMs, head.deadlineMs ?? timeoutMs));
+      limitTime(timer, admission, head);
       const openRequest = {
         req,
         res,
         head,
-        body,
+        body: body.bytes,
         admission,
         fingerprint,
         timer,
@@ -93,9 +109,10 @@
       run = new RequestRun(this.gateway, openRequest);
       await run.run();
     } catch (e) {
-      refusal = this.refuse(res, head, e, timer.hasCallerLeft);
+      refusal = this.refuse(req, res, head, e, timer.hasCallerLeft);
     } finally {
       timer.stop();
+      body?.release();
       this.gateway.stopGate.remove(timer);
       const hasNotRun = run?.hasNotRun ?? true;
       if (admission && isCharged && hasNotRun) this.refund(admission);
@@ -121,28 +138,26 @@
     });
   }
 
-  /** Reads a body; refuses the request if the signal is aborted before its end. */
-  private async readBody(
+  private readBody(
     req: IncomingMessage,
-    signal: AbortSignal,
-  ): Promise<Buffer> {
-    const limit = this.gateway.configState.current?.limits.maxBodyBytes;
-    let handleAbort: () => void = () => undefined;
-    const aborted = new Promise<never>((_resolve, reject) => {
-      handleAbort = () => reject(createStoppingRefusal());
-      signal.addEventListener('abort', handleAbort, {once: true});
+    {requestId}: RequestHead,
+    {account}: Admission,
+    timer: RequestTimer,
+  ): Promise<ReceivedBody> {
+    const {configState, callerBudget, metrics} = this.gateway;
+    const owner = account?.name ?? '';
+    return readRequestBody(req, {
+      maxBytes:
+        configState.current?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      openShare: abort => callerBudget.openBody({requestId, owner, abort}),
+      pacer: this.chunkPacer,
+      signal: timer.signal,
+      refusalForAbort: () => {
+        if (timer.endsWithGateway) return createStoppingRefusal();
+        metrics.recordUnruly('body_too_slow');
+        return new GatewayRefusalError(GATEWAY_REFUSAL.EXPIRED);
+      },
     });
-    try {
-      const body = readBody(req, limit ?? DEFAULT_MAX_BODY_BYTES);
-      return await Promise.race([body, aborted]);
-    } catch (e) {
-      if (e instanceof BodyTooLargeError) {
-        throw new GatewayRefusalError(GATEWAY_REFUSAL.BODY_TOO_LARGE);
-      }
-      throw e;
-    } finally {
-      signal.removeEventListener('abort', handleAbort);
-    }
   }
 
   private admit(req: IncomingMessage, head: RequestHead): Admission {
@@ -203,6 +218,7 @@
    * null if the caller has disconnected.
    */
   private refuse(
+    req: IncomingMessage,
     res: ServerResponse,
     head: RequestHead | null,
     error: unknown,
@@ -227,11 +243,12 @@
       this.gateway.log.warn('response_cut', {id: head?.requestId, reason});
       return refusal;
     }
-    this.sendRefusal(res, head, refusal);
+    this.sendRefusal(req, res, head, refusal);
     return refusal;
   }
 
   private sendRefusal(
+    req: IncomingMessage,
     res: ServerResponse,
     head: RequestHead | null,
     refusal: GatewayRefusalError,
@@ -247,8 +264,17 @@
       const seconds = (retryAfterMs / MS_PER_SECOND).toFixed(3);
       headers.push('Retry-After', seconds);
     }
+    if (!isRestUnwanted(req)) {
+      res.writeHead(status, headers);
+      res.end(body);
+      limitRest(req, res);
+      return;
+    }
+    this.gateway.metrics.recordUnruly('body_unwanted');
+    headers.push('Connection', 'close');
     res.writeHead(status, headers);
-    res.end(body);
+    res.write(body);
+    discardRest(req, this.chunkPacer, () => res.end());
   }
 
   private logEnd(
@@ -292,3 +318,12 @@
     for (const notifyIdle of this.idleListeners.splice(0)) notifyIdle();
   }
 }
+
+/** Ends a request with its route's limit, or sooner if its caller says so. */
+function limitTime(
+  timer: RequestTimer,
+  {route: {timeoutMs}}: Admission,
+  {deadlineMs}: RequestHead,
+): void {
+  timer.setTimeLimit(Math.min(timeoutMs, deadlineMs ?? timeoutMs));
+}
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -234,8 +234,8 @@
 /** Largest response in bytes that is buffered until it is complete. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 16_777_216;
 
-/** Share of the memory limit that all responses may hold together. */
-export const RESPONSE_BUDGET_SHARE = 0.2;
+/** Share of the memory limit that all bodies and responses may hold together. */
+export const CALLER_BUDGET_SHARE = 0.2;
 
 /** Memory limit in megabytes of settings that give none. */
 export const DEFAULT_MEMORY_LIMIT_MB = 512;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
 import type {ConnectSocket} from '@fescuespool/transport';
 import {PeerNetwork} from '@fescuespool/transport';
-import http from 'node:http';
+import type http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
 import {CallerServer} from './caller_server.js';
@@ -20,6 +20,11 @@
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
 import {stopGracefully} from './graceful_stop.js';
+import {
+  createGuardedServer,
+  createGuards,
+  guardConnections,
+} from './guarded_server.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {createLocalMember} from './local_member.js';
@@ -27,11 +32,10 @@
 import {OriginHistory} from './origin_history.js';
 import {NeighbourNotices} from './neighbour_notices.js';
 import {createPeerHandlers} from './peer_handlers.js';
-import {PipelineGate} from './pipeline_gate.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
-import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
-import {ResponseBudget} from './response_budget.js';
+import {callerBudgetBytes, settingsToRestartFor} from './settings.js';
+import {CallerBudget} from './caller_budget.js';
 import {StartupGate} from './startup_gate.js';
 import {createMetricsServer, createReadinessServer} from './status_servers.js';
 import {StopGate} from './stop_gate.js';
@@ -84,7 +88,6 @@
   private readonly context: GatewayContext;
   private readonly usageExchange: UsageExchange;
   private readonly callerServer: CallerServer;
-  private readonly callerPipelines: PipelineGate;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
   private readonly readyServer: http.Server;
@@ -204,10 +207,11 @@
         onPause: instanceId => dispatchClient.reportNow(instanceId),
       }),
       whenConfigured: () => this.startupGate.whenOpen(),
-      responseBudget: new ResponseBudget(
-        responseBudgetBytes(settings),
+      callerBudget: new CallerBudget(
+        callerBudgetBytes(settings),
+        clock,
         log,
-        this.metrics.recordResponseDropped,
+        this.metrics,
       ),
       runTimes,
       stopGate: new StopGate(clock, log, runTimes),
@@ -215,32 +219,31 @@
       metrics: this.metrics,
     };
     this.callerServer = new CallerServer(this.context);
-    this.callerPipelines = new PipelineGate(
-      (req, res) => {
-        this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
-      },
-      dropped => this.handlePipelineCut(dropped),
-    );
-    this.callerHttpServer = http.createServer(
+    const guardOf = createGuards(settings, log, this.metrics);
+    guardConnections(upstreamPaths.tunnels.server, guardOf('tunnels'));
+    this.callerHttpServer = createGuardedServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      (req, res) => this.callerPipelines.handle(req, res),
-    );
-    this.idleConnections = new IdleConnections(
-      this.callerHttpServer,
-      clock,
-      log,
+      guardOf('callers'),
+      (req, res) => {
+        this.idleConnections.handleRequest(req, res);
+        void this.callerServer.serve(req, res);
+      },
     );
+    const {callerHttpServer} = this;
+    this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
       isReady => this.logReadiness(isReady),
+      guardOf('ready'),
     );
-    this.metricsServer = createMetricsServer(this.metrics, () =>
-      updateGauges(this.context, this.dispatcher),
+    this.metricsServer = createMetricsServer(
+      this.metrics,
+      () => updateGauges(this.context, this.dispatcher),
+      guardOf('metrics'),
     );
   }
 
@@ -380,14 +383,6 @@
     this.context.upstreamPaths.close();
   }
 
-  private handlePipelineCut(dropped: number): void {
-    this.metrics.recordUnruly('requests_sent_ahead');
-    this.options.log.warn('connection_cut', {
-      reason: 'requests_sent_ahead',
-      dropped,
-    });
-  }
-
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,7 +9,7 @@
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
 import type {OriginHistory} from './origin_history.js';
-import type {ResponseBudget} from './response_budget.js';
+import type {CallerBudget} from './caller_budget.js';
 import type {StopGate} from './stop_gate.js';
 import type {RunTimes} from './stop_policy.js';
 import type {StreamArchive} from './stream_archive.js';
@@ -39,7 +39,7 @@
   readonly confirmedConnections: ConfirmedConnections;
   readonly upstreams: UpstreamRegistry;
   readonly upstreamStatements: UpstreamStatements;
-  readonly responseBudget: ResponseBudget;
+  readonly callerBudget: CallerBudget;
   readonly runTimes: RunTimes;
   readonly stopGate: StopGate;
   readonly random: () => number;
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -13,7 +13,7 @@
     upstreams,
     upstreamPaths,
     upstreamStatements,
-    responseBudget,
+    callerBudget,
   }: GatewayContext,
   dispatcher: Dispatcher,
 ): void {
@@ -30,6 +30,6 @@
   gauge('upstreams_paused', '', upstreamStatements.pausedCount);
   gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
   gauge('tunnels_open', '', upstreamPaths.tunnels.count);
-  gauge('response_bytes_held', '', responseBudget.usedBytes);
+  gauge('response_bytes_held', '', callerBudget.usedBytes);
   gauge('usage_hub', '', members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
 }
--- /dev/null
+++ b/packages/gateway/src/guarded_server.ts
@@ -0,0 +1,67 @@
+import type {Logger} from '@fescuespool/common';
+import http from 'node:http';
+import {limitConnections} from './connection_limit.js';
+import type {GatewayMetrics, UnrulyReason} from './gateway_metrics.js';
+import type {ServeRequest} from './pipeline_gate.js';
+import {PipelineGate} from './pipeline_gate.js';
+import type {GatewaySettings} from './settings.js';
+import {maxConnectionsOf} from './settings.js';
+
+/** Limits of a server for callers that nobody controls. */
+export interface ServerGuard {
+  /** Name of the server, for the log. */
+  readonly server: 'callers' | 'ready' | 'metrics' | 'tunnels';
+  readonly maxConnections: number;
+  readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Returns a function that returns the limits of a server. */
+export function createGuards(
+  settings: GatewaySettings,
+  log: Logger,
+  metrics: GatewayMetrics,
+): (server: ServerGuard['server']) => ServerGuard {
+  return server => ({
+    server,
+    maxConnections: maxConnectionsOf(server, settings),
+    log,
+    metrics,
+  });
+}
+
+/** Creates an HTTP server that bounds connections and requests sent ahead. */
+export function createGuardedServer(
+  options: http.ServerOptions,
+  guard: ServerGuard,
+  serve: ServeRequest,
+): http.Server {
+  const gate = new PipelineGate(serve, dropped =>
+    recordCut(guard, 'requests_sent_ahead', dropped),
+  );
+  const server = http.createServer(options, (req, res) =>
+    gate.handle(req, res),
+  );
+  guardConnections(server, guard);
+  return server;
+}
+
+/** Bounds the connections of a server. */
+export function guardConnections(
+  server: http.Server,
+  guard: ServerGuard,
+): void {
+  const bodiesEnd = guard.server !== 'tunnels';
+  limitConnections(server, guard.maxConnections, bodiesEnd, () =>
+    recordCut(guard, 'too_many_connections', 0),
+  );
+}
+
+function recordCut(
+  {server, log, metrics}: ServerGuard,
+  reason: UnrulyReason,
+  dropped: number,
+): void {
+  metrics.recordUnruly(reason);
+  log.warn('connection_cut', {server, reason, dropped});
+}
--- a/packages/gateway/src/response_body.ts
+++ b/packages/gateway/src/response_body.ts
@@ -7,7 +7,7 @@
   MAX_DISCARDED_BYTES,
   MAX_DISCARDED_CHUNKS,
 } from './constants.js';
-import type {BudgetShare} from './response_budget.js';
+import type {BudgetShare} from './caller_budget.js';
 
 /** A complete response, buffered before any of it is sent to the caller. */
 export interface BufferedResponse {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,6 +1,25 @@
 import {LOG_LEVEL} from '@fescuespool/common';
 import {z} from 'zod';
-import {DEFAULT_MEMORY_LIMIT_MB, RESPONSE_BUDGET_SHARE} from './constants.js';
+import {DEFAULT_MEMORY_LIMIT_MB, CALLER_BUDGET_SHARE} from './constants.js';
+
+/** Most open file descriptors, of settings that give none. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
+
+const MIN_DESCRIPTORS = 256;
+
+/** Descriptors that are kept for files. */
+const FILE_DESCRIPTORS = 200;
+
+/**
+ * Shares of the other descriptors that the connections to each server may use;
+ * the rest is for connections to upstreams, other gateways and the store.
+ */
+const CONNECTION_SHARE = {
+  callers: 0.5,
+  tunnels: 0.1,
+  ready: 0.05,
+  metrics: 0.05,
+} as const;
 
 const BYTES_PER_MB = 1_048_576;
 
@@ -53,6 +72,12 @@
   }),
   /** Memory in megabytes above which the process is killed. */
   memoryLimitMb: z.number().min(1).default(DEFAULT_MEMORY_LIMIT_MB),
+  /** Most open file descriptors of the process. */
+  maxDescriptors: z
+    .number()
+    .int()
+    .min(MIN_DESCRIPTORS)
+    .default(DEFAULT_MAX_DESCRIPTORS),
   /** Milliseconds from SIGTERM until the process is killed forcibly. */
   stopGraceMs: MILLISECONDS,
 });
@@ -72,11 +97,21 @@
   'tunnelAddress',
   'logLevel',
   'memoryLimitMb',
+  'maxDescriptors',
 ] as const;
 
-/** Bytes that all buffered responses may hold together. */
-export function responseBudgetBytes({memoryLimitMb}: GatewaySettings): number {
-  return RESPONSE_BUDGET_SHARE * memoryLimitMb * BYTES_PER_MB;
+/** Bytes that all bodies and buffered responses may hold together. */
+export function callerBudgetBytes({memoryLimitMb}: GatewaySettings): number {
+  return CALLER_BUDGET_SHARE * memoryLimitMb * BYTES_PER_MB;
+}
+
+/** Most connections to one of the servers. */
+export function maxConnectionsOf(
+  server: keyof typeof CONNECTION_SHARE,
+  {maxDescriptors}: GatewaySettings,
+): number {
+  const sockets = maxDescriptors - FILE_DESCRIPTORS;
+  return Math.max(1, Math.floor(CONNECTION_SHARE[server] * sockets));
 }
 
 /** Changed settings that need a restart, as a list for the log. */
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -1,10 +1,29 @@
-import http from 'node:http';
+import type http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import type {ServerGuard} from './guarded_server.js';
+import {createGuardedServer} from './guarded_server.js';
+import {hasBodyHeaders} from './open_request.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
 const SERVICE_UNAVAILABLE = 503;
 
+/** Largest request head in bytes; probes and scrapes send a few hundred. */
+const MAX_STATUS_HEADER_BYTES = 16_384;
+
+/** Time in milliseconds for a request head. */
+const STATUS_HEADERS_TIMEOUT_MS = 10_000;
+
+/** Time in milliseconds between two checks of that time. */
+const STATUS_CHECK_INTERVAL_MS = 5_000;
+
+const SERVER_OPTIONS: http.ServerOptions = {
+  maxHeaderSize: MAX_STATUS_HEADER_BYTES,
+  headersTimeout: STATUS_HEADERS_TIMEOUT_MS,
+  connectionsCheckingInterval: STATUS_CHECK_INTERVAL_MS,
+};
+
 /**
  * Creates the server of the load balancer's readiness probe, which calls
  * `onChange` when its response differs from that to the last probe.
@@ -13,9 +32,11 @@
   path: string,
   isReady: () => boolean,
   onChange: (isReady: boolean) => void,
+  guard: ServerGuard,
 ): http.Server {
   let wasReady = false;
-  return http.createServer((req, res) => {
+  return createGuardedServer(SERVER_OPTIONS, guard, (req, res) => {
+    closeIfBody(req, res);
     if (req.url !== path) {
       res.writeHead(NOT_FOUND).end();
       return;
@@ -34,8 +55,10 @@
 export function createMetricsServer(
   metrics: GatewayMetrics,
   refresh: () => void,
+  guard: ServerGuard,
 ): http.Server {
-  return http.createServer((_req, res) => {
+  return createGuardedServer(SERVER_OPTIONS, guard, (req, res) => {
+    closeIfBody(req, res);
     refresh();
     void metrics.renderText().then(text => {
       res.writeHead(OK, {'content-type': 'text/plain; version=0.0.4'});
@@ -43,3 +66,8 @@
     });
   });
 }
+
+/** Bodies are not read here: the response ends the connection. */
+function closeIfBody(req: IncomingMessage, res: ServerResponse): void {
+  if (!req.complete && hasBodyHeaders(req)) res.shouldKeepAlive = false;
+}
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -4,7 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import type {StreamEvent} from './event_splitter.js';
 import {EventSplitter} from './event_splitter.js';
-import type {BudgetShare} from './response_budget.js';
+import type {BudgetShare} from './caller_budget.js';
 
 /** Progress of a stream, across all upstreams that have run it. */
 export interface StreamProgress {
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -17,7 +17,7 @@
 import {relayStream} from './stream_relay.js';
 import {StreamVersionTracker} from './stream_version_tracker.js';
 import {bufferResponse, discardResponse} from './response_body.js';
-import type {BudgetShare} from './response_budget.js';
+import type {BudgetShare} from './caller_budget.js';
 import {isForeign, judgeResponse} from './response_verdict.js';
 import type {UpstreamResponseHead} from './types.js';
 import {createUpstreamRequest} from './upstream_request.js';
@@ -333,7 +333,11 @@
   private openShare({abort}: HttpExchange): BudgetShare {
     const {requestId} = this.request.head;
     const {instanceId: upstreamId} = this.placement.upstream;
-    return this.gateway.responseBudget.open({requestId, upstreamId, abort});
+    return this.gateway.callerBudget.openResponse({
+      requestId,
+      upstreamId,
+      abort,
+    });
   }
 
   private recordSurvival(): void {
--- a/packages/transport/src/byte_accumulator.ts
+++ b/packages/transport/src/byte_accumulator.ts
@@ -10,6 +10,11 @@
   private buffer: Buffer = EMPTY;
   private size = 0;
 
+  /** `capacityFor` returns how much is allocated for a size; 0 to double it. */
+  constructor(
+    private readonly capacityFor: (size: number) => number = () => 0,
+  ) {}
+
   /** Number of collected bytes. */
   get length(): number {
     return this.size;
@@ -43,7 +48,8 @@
 
   private grow(size: number): void {
     const doubled = this.buffer.length * GROWTH_FACTOR;
-    const capacity = Math.max(MIN_CAPACITY_BYTES, doubled, size);
+    const capacity =
+      this.capacityFor(size) || Math.max(MIN_CAPACITY_BYTES, doubled, size);
     const grown = Buffer.allocUnsafeSlow(capacity);
     this.buffer.copy(grown, 0, 0, this.size);
     this.buffer = grown;
--- a/packages/transport/src/peer_connection.ts
+++ b/packages/transport/src/peer_connection.ts
@@ -16,16 +16,28 @@
 /** Handlers by method name. */
 export type PeerHandlers = Readonly<Record<string, PeerHandler>>;
 
+/** Bytes of incomplete lines that all connections from peers may hold. */
+export const MAX_PENDING_PEER_BYTES = 33_554_432;
+
+/** Bytes of incomplete lines, over all connections that share it. */
+export interface PendingBytes {
+  total: number;
+}
+
 /** Splits received bytes into lines. */
 class LineSplitter {
   private chunks: Buffer[] = [];
   private size = 0;
 
+  constructor(private readonly pending: PendingBytes) {}
+
   /**
    * Appends bytes and returns the lines that they complete; throws a RangeError
-   * if an incomplete line exceeds MAX_PEER_LINE_BYTES.
+   * if an incomplete line exceeds MAX_PEER_LINE_BYTES, or all of them together
+   * MAX_PENDING_PEER_BYTES.
    */
   push(chunk: Buffer): string[] {
+    const before = this.size;
     const lines: string[] = [];
     let start = 0;
     let end = chunk.indexOf(NEWLINE);
@@ -39,22 +51,35 @@
     }
     this.chunks.push(chunk.subarray(start));
     this.size += chunk.length - start;
+    this.pending.total += this.size - before;
     if (this.size > MAX_PEER_LINE_BYTES) throw new RangeError('line too long');
+    if (this.size > 0 && this.pending.total > MAX_PENDING_PEER_BYTES) {
+      throw new RangeError('too many incomplete lines');
+    }
     return lines;
   }
+
+  /** Forgets the incomplete line. */
+  clear(): void {
+    this.pending.total -= this.size;
+    this.chunks = [];
+    this.size = 0;
+  }
 }
 
 /** JSON-RPC connection to one peer, with one message per line. */
 export class PeerConnection {
   private readonly rpc: JSONRPCServerAndClient;
-  private readonly lines = new LineSplitter();
+  private readonly lines: LineSplitter;
   private isHolding = false;
 
   constructor(
     private readonly socket: Socket,
     handlers: PeerHandlers,
     private readonly counts: ByteCounts,
+    pending: PendingBytes = {total: 0},
   ) {
+    this.lines = new LineSplitter(pending);
     const server = new JSONRPCServer({errorListener: () => undefined});
     for (const [method, handler] of Object.entries(handlers)) {
       server.addMethod(method, handler);
@@ -98,9 +123,11 @@
   close(): void {
     this.rpc.rejectAllPendingRequests('connection closed');
     this.socket.destroy();
+    this.lines.clear();
   }
 
   private receive(chunk: Buffer): void {
+    if (this.socket.destroyed) return;
     this.counts.received += chunk.length;
     try {
       for (const line of this.lines.push(chunk)) void this.handleLine(line);
--- a/packages/transport/src/peer_network.ts
+++ b/packages/transport/src/peer_network.ts
@@ -5,7 +5,7 @@
 import type {Socket} from 'node:net';
 import tls from 'node:tls';
 import {CONNECT_TIMEOUT_MS} from './constants.js';
-import type {PeerHandlers} from './peer_connection.js';
+import type {PeerHandlers, PendingBytes} from './peer_connection.js';
 import {PeerConnection} from './peer_connection.js';
 import type {ByteCounts, PeerAddress, TlsCredentials} from './types.js';
 
@@ -29,6 +29,8 @@
   readonly byteCounts: ByteCounts = {sent: 0, received: 0};
   private readonly outbound = new Map<string, OutboundConnection>();
   private readonly inbound = new Set<PeerConnection>();
+  /** Bytes of lines that peers have begun. */
+  private readonly pending: PendingBytes = {total: 0};
   private server: net.Server | null = null;
   private handlers: PeerHandlers = {};
 
@@ -120,6 +122,7 @@
       socket,
       this.handlers,
       this.byteCounts,
+      this.pending,
     );
     this.inbound.add(connection);
     socket.on('error', () => undefined);
