--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import {QuotaLedger, UpstreamLimits} from '@fescuespool/scheduling';
 import {PeerNetwork} from '@fescuespool/transport';
-import http from 'node:http';
+import type http from 'node:http';
 import {isDeepStrictEqual} from 'node:util';
 import {listenOn, splitAddress} from './address.js';
 import {CallerServer} from './caller_server.js';
@@ -17,6 +17,11 @@
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {GatewayPeers} from './gateway_peers.js';
 import {stopGracefully} from './graceful_stop.js';
+import {
+  createGuardedServer,
+  createGuards,
+  guardConnections,
+} from './guarded_server.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
 import {createLocalMember} from './local_member.js';
@@ -25,11 +30,10 @@
 import {NeighbourNotices} from './neighbour_notices.js';
 import {createOperatorServer} from './operator_server.js';
 import {createPeerHandlers} from './peer_handlers.js';
-import {PipelineGate} from './pipeline_gate.js';
 import {PeerMonitor} from './peer_monitor.js';
 import type {GatewaySettings} from './settings.js';
-import {responseBudgetBytes, settingsToRestartFor} from './settings.js';
-import {ResponseBudget} from './response_budget.js';
+import {callerBudgetBytes, settingsToRestartFor} from './settings.js';
+import {CallerBudget} from './caller_budget.js';
 import {StartupGate} from './startup_gate.js';
 import {createReadinessServer} from './status_servers.js';
 import {StopGate} from './stop_gate.js';
@@ -68,7 +72,6 @@
   private readonly context: GatewayContext;
   private readonly usageExchange: UsageExchange;
   private readonly callerServer: CallerServer;
-  private readonly callerPipelines: PipelineGate;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
   private readonly readyServer: http.Server;
@@ -192,10 +195,11 @@
         onPause: instanceId => dispatchClient.reportNow(instanceId),
       }),
       whenConfigured: () => this.startupGate.whenOpen(),
-      responseBudget: new ResponseBudget(
-        responseBudgetBytes(settings),
+      callerBudget: new CallerBudget(
+        callerBudgetBytes(settings),
+        clock,
         log,
-        this.metrics.recordResponseDropped,
+        this.metrics,
       ),
       runTimes,
       stopGate: new StopGate(clock, log, runTimes),
@@ -203,34 +207,32 @@
       metrics: this.metrics,
     };
     this.callerServer = new CallerServer(this.context);
-    this.callerPipelines = new PipelineGate(
-      (req, res) => {
-        this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
-      },
-      dropped => this.handlePipelineCut(dropped),
-    );
-    this.callerHttpServer = http.createServer(
+    const guardOf = createGuards(settings, log, this.metrics);
+    guardConnections(upstreamPaths.tunnels.server, guardOf('tunnels'));
+    this.callerHttpServer = createGuardedServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
-      (req, res) => this.callerPipelines.handle(req, res),
-    );
-    this.idleConnections = new IdleConnections(
-      this.callerHttpServer,
-      clock,
-      log,
+      guardOf('callers'),
+      (req, res) => {
+        this.idleConnections.handleRequest(req, res);
+        void this.callerServer.serve(req, res);
+      },
     );
+    const {callerHttpServer} = this;
+    this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
       isReady => this.logReadiness(isReady),
+      guardOf('ready'),
     );
     this.metricsServer = createOperatorServer(
       this.context,
       this.dispatcher,
       network,
+      guardOf('metrics'),
     );
   }
 
@@ -371,14 +373,6 @@
     this.context.upstreamPaths.close();
   }
 
-  private handlePipelineCut(dropped: number): void {
-    this.metrics.recordUnruly('requests_sent_ahead');
-    this.options.log.warn('connection_cut', {
-      reason: 'requests_sent_ahead',
-      dropped,
-    });
-  }
-
   private logReadiness(isReady: boolean): void {
     this.options.log.info('readiness_changed', {
       isReady,
--- a/packages/gateway/src/gateway_context.ts
+++ b/packages/gateway/src/gateway_context.ts
@@ -9,8 +9,8 @@
 import type {MemberDirectory} from './member_directory.js';
 import type {GatewaySettings} from './settings.js';
 import type {OriginHistory} from './origin_history.js';
-import type {ResponseBudget} from './response_budget.js';
 import type {Rollouts} from './rollouts.js';
+import type {CallerBudget} from './caller_budget.js';
 import type {StopGate} from './stop_gate.js';
 import type {RunTimes} from './stop_policy.js';
 import type {StreamArchive} from './stream_archive.js';
@@ -41,7 +41,7 @@
   readonly upstreams: UpstreamRegistry;
   readonly rollouts: Rollouts;
   readonly upstreamStatements: UpstreamStatements;
-  readonly responseBudget: ResponseBudget;
+  readonly callerBudget: CallerBudget;
   readonly runTimes: RunTimes;
   readonly stopGate: StopGate;
   readonly random: () => number;
--- a/packages/gateway/src/operator_server.ts
+++ b/packages/gateway/src/operator_server.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage, RequestListener, Server} from 'node:http';
 import type {PeerNetwork} from '@fescuespool/transport';
+import {BodyTooLargeError, readBody} from '@fescuespool/transport';
 import type {Dispatcher} from './dispatcher.js';
 import type {GatewayContext} from './gateway_context.js';
 import {updateGauges} from './gateway_gauges.js';
+import type {ServerGuard} from './guarded_server.js';
 import {
   PREVIEW_QUESTION_SCHEMA,
   PreviewError,
@@ -27,11 +29,13 @@
   gateway: GatewayContext,
   dispatcher: Dispatcher,
   network: PeerNetwork,
+  guard: ServerGuard,
 ): Server {
   const previewer = new RequestPreviewer(gateway, dispatcher, network);
   return createMetricsServer(
     gateway.metrics,
     () => updateGauges(gateway, dispatcher),
+    guard,
     {[PREVIEW_PATH]: previewListener(gateway, previewer)},
   );
 }
@@ -65,18 +69,11 @@
   if (req.method !== 'POST') {
     throw new PreviewError(METHOD_NOT_ALLOWED, 'the method must be POST');
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_QUESTION_BYTES) {
-      throw new PreviewError(TOO_LARGE, 'the question is too long');
-    }
-    chunks.push(chunk);
-  }
-  const parsed = PREVIEW_QUESTION_SCHEMA.safeParse(
-    parseJson(Buffer.concat(chunks).toString()),
-  );
+  const body = await readBody(req, MAX_QUESTION_BYTES).catch((e: unknown) => {
+    if (!(e instanceof BodyTooLargeError)) throw e;
+    throw new PreviewError(TOO_LARGE, 'the question is too long');
+  });
+  const parsed = PREVIEW_QUESTION_SCHEMA.safeParse(parseJson(body.toString()));
   if (parsed.success) return parsed.data;
   // Only names of fields, as their values may hold a key.
   const fields = parsed.error.issues.map(
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -144,7 +144,7 @@
       states: [...this.upstreams.values()],
       free: usable.filter(state => placement.hasRoom(state, now)),
       rateLimiter: this.options.rateLimiter,
-      mayTake: state => gated.mayTake(request, state, now),
+      mayTake: state => this.gated.mayTake(request, state, now),
       waitingCount: this.waiting.size,
       choose: asked => placement.preview(asked, usable, now),
       estimate: state => placement.estimate(request, state),
