--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -1,3 +1,4 @@
+import {ROLLOUT_STATE} from '@fescuespool/scheduling';
 import {USAGE_HUB_KEY} from './constants.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -14,6 +15,7 @@
     upstreamPaths,
     upstreamStatements,
     responseBudget,
+    rollouts,
   }: GatewayContext,
   dispatcher: Dispatcher,
 ): void {
@@ -31,5 +33,26 @@
   gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
   gauge('tunnels_open', '', upstreamPaths.tunnels.count);
   gauge('response_bytes_held', '', responseBudget.usedBytes);
+  for (const [service, {record}] of rollouts.all) {
+    if (!record) continue;
+    const {state, isMoving, permitted, arrived, elapsedMs, routes} = record;
+    const label = `${service}/${record.target}`;
+    gauge('rollout_running', label, state === ROLLOUT_STATE.RUNNING ? 1 : 0);
+    gauge(
+      'rollout_completed',
+      label,
+      state === ROLLOUT_STATE.COMPLETED ? 1 : 0,
+    );
+    gauge('rollout_moving', label, isMoving ? 1 : 0);
+    gauge('rollout_elapsed_ms', label, elapsedMs);
+    gauge('rollout_requests', label, arrived);
+    gauge('rollout_requests_permitted', label, permitted);
+    for (const {route, good, bad, alarm, proof} of routes) {
+      gauge('rollout_answers_good', `${label}/${route}`, good);
+      gauge('rollout_answers_bad', `${label}/${route}`, bad);
+      gauge('rollout_alarm', `${label}/${route}`, alarm);
+      gauge('rollout_proof', `${label}/${route}`, proof);
+    }
+  }
   gauge('usage_hub', '', members.isOwnerOf(USAGE_HUB_KEY) ? 1 : 0);
 }
--- a/packages/scheduling/src/rollout/answer_judge.ts
+++ b/packages/scheduling/src/rollout/answer_judge.ts
@@ -17,6 +17,9 @@
 /** Times its age at which an open answer that takes longer than most is slow. */
 const LATE_FACTOR = 1.8;
 
+/** Milliseconds after an answer at which those of its time are known. */
+const COMPARISON_DELAY_MS = 400;
+
 /** Ends by which the upstream itself answered with a failure. */
 const FAILURES: ReadonlySet<RunEnd> = new Set([RUN_END.FAILED]);
 
@@ -42,6 +45,10 @@
   readonly expectedShare: number;
 }
 
+type PendingAnswer = Omit<JudgedAnswer, 'expectedShare'> & {
+  readonly atMs: number;
+};
+
 /** Judges answers against those of the serving versions in the same seconds. */
 export class AnswerJudge {
   private readonly open = new LRUCache<string, OpenAnswer>({
@@ -52,6 +59,8 @@
   private readonly brokeAtMs = new LRUCache<string, number>({
     max: MAX_BROKEN_UPSTREAMS,
   });
+  /** Answers of the target that are not compared yet, in their order. */
+  private readonly pending: PendingAnswer[] = [];
   private readonly openByRoute = new Map<string, number>();
 
   constructor(private readonly onTarget: (answer: JudgedAnswer) => void) {}
@@ -124,8 +133,22 @@
     if (!answer.isTarget) this.times.record(answer.requestClass, runMs);
   }
 
-  /** Counts the answers as bad that are slow already and still missing. */
-  judgeMissing(nowMs: number): void {
+  /**
+   * Counts the answers as bad that are slow already and still missing, and
+   * compares the target's with what else was answered at their time.
+   */
+  judgeUntil(nowMs: number): void {
+    this.judgeMissing(nowMs);
+    while (this.pending.length > 0) {
+      const [{atMs, ...answer}] = this.pending as [PendingAnswer];
+      if (nowMs - atMs < COMPARISON_DELAY_MS) return;
+      this.pending.shift();
+      const expectedShare = this.serving.expected(answer.route, atMs);
+      this.onTarget({...answer, expectedShare});
+    }
+  }
+
+  private judgeMissing(nowMs: number): void {
     for (const answer of this.open.values()) {
       if (answer.isJudged) continue;
       if (!this.isSlow(answer, nowMs - answer.grantedAtMs)) continue;
@@ -140,8 +163,7 @@
       this.serving.record(route, isBad, nowMs);
       return;
     }
-    const expectedShare = this.serving.expected(route, nowMs);
-    this.onTarget({route, instanceId, isBad, expectedShare});
+    this.pending.push({route, instanceId, isBad, atMs: nowMs});
   }
 
   private isSlow({requestClass}: OpenAnswer, runMs: number): boolean {
--- a/packages/scheduling/src/rollout/exposure_permit.ts
+++ b/packages/scheduling/src/rollout/exposure_permit.ts
@@ -1,19 +1,22 @@
 import type {RolloutBounds, RolloutRecord} from './types.js';
 
 /** Share of the bounded exposure that trials use; the move needs the rest. */
-export const BUDGET_USE = 0.6;
+const BUDGET_USE = 0.6;
 
 /** The same while a trial lacks answers and its time is nearly over. */
 const LAST_BUDGET_USE = 0.8;
 
+/** Longest time in milliseconds after its write was sent that a permit holds. */
+const MAX_PERMIT_MS = 1_500;
+
 /**
- * Milliseconds after its write was sent for which a permit holds: a member that
- * others have replaced stops well within the time of a roll-back.
+ * Share of the time for a roll-back that a permit holds at most: a member that
+ * others have replaced stops well within it.
  */
-export const PERMIT_MS = 1_500;
+const PERMIT_SHARE = 0.3;
 
 /** Milliseconds after which a permit is renewed. */
-export const PERMIT_RENEWAL_MS = 400;
+const PERMIT_RENEWAL_MS = 400;
 
 /** Requests to the target that one permit allows at least, if the bounds do. */
 const MIN_BLOCK = 8;
@@ -38,7 +41,12 @@
   /** Whether the trial lacks answers and its time is nearly over. */
   isLast = false;
 
-  constructor(private readonly bounds: RolloutBounds) {}
+  private readonly permitMs: number;
+
+  constructor(private readonly bounds: RolloutBounds) {
+    const shareMs = PERMIT_SHARE * bounds.rollbackMs;
+    this.permitMs = Math.min(MAX_PERMIT_MS, shareMs);
+  }
 
   /** Whether the target may get a request; while moving, any number. */
   allows(isMoving: boolean, nowMs: number): boolean {
@@ -91,7 +99,7 @@
     this.newArrivals -= plan.arrived - this.recordedArrivals;
     this.recordedArrivals = plan.arrived;
     this.permitted = plan.permitted;
-    this.endsAtMs = sentAtMs + PERMIT_MS;
+    this.endsAtMs = sentAtMs + this.permitMs;
     this.renewedAtMs = sentAtMs;
   }
 
--- a/packages/scheduling/src/rollout/recent_share.ts
+++ b/packages/scheduling/src/rollout/recent_share.ts
@@ -1,84 +1,107 @@
-/** Seconds of answers with which the target's are compared. */
-const WINDOW_S = 3;
+/** Milliseconds for which answers are counted together. */
+const BUCKET_MS = 100;
 
-const MS_PER_SECOND = 1_000;
+/** Buckets of answers that are kept: three seconds. */
+const MAX_BUCKETS = 30;
+
+/** Buckets before and after an answer of the target with which it is compared. */
+const NEAR_BUCKETS = 4;
 
 /** Lowest share of bad answers that is expected of a good version. */
 const MIN_EXPECTED_SHARE = 0.02;
 
-/** Highest share up to which a higher one can still be told from it. */
-const MAX_EXPECTED_SHARE = 0.75;
-
 /** Answers of a route below which those of all routes are taken. */
-const MIN_ANSWERS = 10;
+const MIN_ANSWERS = 5;
+
+/** Bad answers below which a short time is no different from a longer one. */
+const MIN_NEAR_BAD = 2;
 
 /** Answers, one of them bad, that stand for what is not known. */
-const PRIOR_ANSWERS = 10;
+const PRIOR_ANSWERS = 2;
 
-interface Second {
-  readonly second: number;
+interface Bucket {
+  readonly index: number;
   answers: number;
   bad: number;
 }
 
 /** Share of bad answers that the serving versions gave in the last seconds. */
 export class RecentShare {
-  private readonly byRoute = new Map<string, Second[]>();
-  private readonly all: Second[] = [];
+  private readonly byRoute = new Map<string, Bucket[]>();
+  private readonly all: Bucket[] = [];
 
   constructor(private readonly maxRoutes: number) {}
 
   /** Records an answer. */
   record(route: string, isBad: boolean, nowMs: number): void {
-    let seconds = this.byRoute.get(route);
-    if (!seconds && this.byRoute.size < this.maxRoutes) {
-      this.byRoute.set(route, (seconds = []));
+    let buckets = this.byRoute.get(route);
+    if (!buckets && this.byRoute.size < this.maxRoutes) {
+      this.byRoute.set(route, (buckets = []));
     }
-    for (const list of seconds ? [seconds, this.all] : [this.all]) {
+    for (const list of buckets ? [buckets, this.all] : [this.all]) {
       add(list, isBad, nowMs);
     }
   }
 
-  /** Share of bad answers to expect of a good version. */
-  expected(route: string, nowMs: number): number {
-    const ofRoute = sum(this.byRoute.get(route) ?? [], nowMs);
-    const {answers, bad} =
-      ofRoute.answers >= MIN_ANSWERS ? ofRoute : sum(this.all, nowMs);
-    const share = (bad + 1) / (answers + PRIOR_ANSWERS);
-    if (bad === 0 || answers === 0) return MIN_EXPECTED_SHARE;
-    return Math.min(MAX_EXPECTED_SHARE, Math.max(MIN_EXPECTED_SHARE, share));
+  /**
+   * Share of bad answers to expect of a good version at a time: the higher one of
+   * those near that time and of the last seconds.
+   */
+  expected(route: string, atMs: number): number {
+    const at = Math.floor(atMs / BUCKET_MS);
+    const near = this.shareBetween(
+      route,
+      at - NEAR_BUCKETS,
+      at + NEAR_BUCKETS,
+      MIN_NEAR_BAD,
+    );
+    const recent = this.shareBetween(route, at - MAX_BUCKETS, Infinity, 0);
+    return Math.max(near, recent, MIN_EXPECTED_SHARE);
   }
 
   /** Routes that got answers in the last seconds. */
   activeRoutes(nowMs: number): string[] {
+    const from = Math.floor(nowMs / BUCKET_MS) - MAX_BUCKETS;
     return [...this.byRoute.keys()].filter(
-      route => sum(this.byRoute.get(route)!, nowMs).answers > 0,
+      route => sum(this.byRoute.get(route)!, from, Infinity).answers > 0,
     );
   }
+
+  private shareBetween(
+    route: string,
+    from: number,
+    to: number,
+    minBad: number,
+  ): number {
+    const ofRoute = sum(this.byRoute.get(route) ?? [], from, to);
+    const {answers, bad} =
+      ofRoute.answers >= MIN_ANSWERS ? ofRoute : sum(this.all, from, to);
+    return bad < minBad ? 0 : (bad + 1) / (answers + PRIOR_ANSWERS);
+  }
 }
 
-function add(seconds: Second[], isBad: boolean, nowMs: number): void {
-  const second = Math.floor(nowMs / MS_PER_SECOND);
-  let last = seconds.at(-1);
-  if (last?.second !== second) {
-    seconds.push((last = {second, answers: 0, bad: 0}));
-    if (seconds.length > WINDOW_S + 1) seconds.shift();
+function add(buckets: Bucket[], isBad: boolean, nowMs: number): void {
+  const index = Math.floor(nowMs / BUCKET_MS);
+  let last = buckets.at(-1);
+  if (last?.index !== index) {
+    buckets.push((last = {index, answers: 0, bad: 0}));
+    if (buckets.length > MAX_BUCKETS) buckets.shift();
   }
   last.answers++;
   if (isBad) last.bad++;
 }
 
 function sum(
-  seconds: readonly Second[],
-  nowMs: number,
+  buckets: readonly Bucket[],
+  from: number,
+  to: number,
 ): {answers: number; bad: number} {
-  const from = Math.floor(nowMs / MS_PER_SECOND) - WINDOW_S;
   let answers = 0;
   let bad = 0;
-  for (const entry of seconds) {
-    if (entry.second < from) continue;
-    answers += entry.answers;
-    bad += entry.bad;
+  for (const bucket of buckets) {
+    if (bucket.index < from || bucket.index > to) continue;
+    answers += bucket.answers;
+    bad += bucket.bad;
   }
   return {answers, bad};
 }
--- a/packages/scheduling/src/rollout/rollout_trial.test.ts
+++ b/packages/scheduling/src/rollout/rollout_trial.test.ts
@@ -80,11 +80,48 @@
     `over ${count(({exposed, bound}) => exposed > bound)},`,
     `exposure ${most(({exposed, bound}) => exposed / bound).toFixed(2)},`,
     `bad answers ${most(({badAnswers}) => badAnswers)},`,
+    [...new Set(results.map(({reason}) => reason))].slice(0, 4).join('; '),
     `decided at ${most(({decidedAtMs}) => decidedAtMs)} ms`,
   );
 }
 
+/** What troubles upstreams of all versions, or one upstream alone. */
+const TROUBLES: Readonly<Record<string, Behaviour>> = {
+  'a burst that slows both versions': inputs => {
+    const isBurst = inputs.sinceOrderMs > 1_500 && inputs.sinceOrderMs < 5_000;
+    return {...good(inputs), factor: isBurst ? 4 : 1};
+  },
+  'failures of both versions': inputs => {
+    const isBad = inputs.sinceOrderMs > 1_500 && inputs.sinceOrderMs < 5_000;
+    return isBad ? {fails: inputs.random() < 0.3, factor: 1} : good(inputs);
+  },
+  'one upstream that fails': inputs =>
+    inputs.upstream === 3
+      ? {fails: inputs.random() < 0.7, factor: 1}
+      : good(inputs),
+};
+
 describe('RolloutTrial', () => {
+  for (const [name, behaviour] of Object.entries(TROUBLES)) {
+    it(`completes a good version beside ${name}`, () => {
+      const [perS, durationMs] = [400, 12_000];
+      const results = Array.from({length: SEEDS}, (_, seed) =>
+        playRollout({
+          seed,
+          perS,
+          durationMs,
+          target: behaviour,
+          serving: behaviour,
+        }),
+      );
+      report(name, play(perS, durationMs), results);
+      const undone = results.filter(
+        ({state}) => state !== ROLLOUT_STATE.COMPLETED,
+      );
+      expect(undone.length).toBeLessThanOrEqual(MAX_UNDONE_SHARE * SEEDS);
+    });
+  }
+
   for (const perS of RATES) {
     for (const durationMs of DURATIONS_MS) {
       describe(`at ${perS} requests a second within ${durationMs} ms`, () => {
--- a/packages/scheduling/src/rollout/rollout_trial.ts
+++ b/packages/scheduling/src/rollout/rollout_trial.ts
@@ -129,7 +129,7 @@
   /** What is to be done now; null for nothing. */
   decide(nowMs: number, mayHaveOtherOwner: boolean): RolloutStep | null {
     if (this.verdict !== null) return rolledBack(this.verdict);
-    this.judge.judgeMissing(nowMs);
+    this.judge.judgeUntil(nowMs);
     if (this.verdict !== null) return rolledBack(this.verdict);
     const {durationMs, isMoving} = this.record;
     const leftMs = durationMs - this.elapsedMs(nowMs);
--- a/packages/scheduling/src/rollout/version_test.ts
+++ b/packages/scheduling/src/rollout/version_test.ts
@@ -22,7 +22,8 @@
 /** Log likelihood ratio of an open answer that takes longer than most. */
 const LATE_ANSWER_WEIGHT = 1;
 
-const HIGHEST_SHARE = 0.97;
+/** Share of bad answers up to which a higher one can be told from it. */
+const MAX_EXPECTED_SHARE = 0.7;
 
 interface Score {
   good: number;
@@ -49,8 +50,10 @@
 
   /** Records an answer of the version. */
   record(route: string, isBad: boolean, expectedShare: number): void {
+    // Where most answers are bad anyway, none tells anything of the version.
+    if (expectedShare > MAX_EXPECTED_SHARE) return;
     const score = this.scoreOf(route);
-    const badShare = Math.min(HIGHEST_SHARE, expectedShare + DETECTABLE_SHARE);
+    const badShare = expectedShare + DETECTABLE_SHARE;
     const ratio = isBad
       ? Math.log(badShare / expectedShare)
       : Math.log((1 - badShare) / (1 - expectedShare));
--- a/packages/scheduling/src/test_support/rollout_play.ts
+++ b/packages/scheduling/src/test_support/rollout_play.ts
@@ -9,6 +9,8 @@
   readonly route: number;
   readonly sinceOrderMs: number;
   readonly running: number;
+  /** Number of the upstream among those of its version. */
+  readonly upstream: number;
   readonly random: () => number;
 }) => {readonly fails: boolean; readonly factor: number};
 
@@ -112,7 +114,13 @@
     state.running++;
     const behave = isTarget ? play.target : play.serving;
     const {running} = state;
-    const answer = behave({route, sinceOrderMs: now, running, random});
+    const answer = behave({
+      route,
+      sinceOrderMs: now,
+      running,
+      upstream: Number(state.spec.instanceId.split('-')[1]),
+      random,
+    });
     const spread = Math.exp(0.35 * gaussian(random));
     const ms = ROUTE_MS[route]! * spread * answer.factor;
     const endsAt = Math.ceil((now + ms) / STEP_MS) * STEP_MS;
