Tell callers a Retry-After within their limit only where room is short

Cause: refusals for want of an upstream were capped at a third of the caller's time too, so that odd_entries.test.ts found 0.96 s where it asks for 1 s; what is missing there doesn't come back sooner for callers that leave. Change: the cap, and the times that are spread, are for want of room alone.

--- a/packages/gateway/src/run_refusal.ts
+++ b/packages/gateway/src/run_refusal.ts
@@ -1,5 +1,5 @@
 import type {QueueRefusal} from '@fescuespool/scheduling';
-import {MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
+import {isForWantOfRoom, MIN_RETRY_AFTER_MS} from '@fescuespool/scheduling';
 import {GATEWAY_REFUSAL} from './constants.js';
 import {
   createStoppingRefusal,
@@ -33,8 +33,8 @@
   /** A refusal by the queue, with a Retry-After for which callers wait. */
   fromQueue({reason, retryAfterMs}: QueueRefused): GatewayRefusalError {
     const {ownRemainingMs} = this.timer;
-    const honouredMs = Math.floor(RETRY_AFTER_SHARE * ownRemainingMs);
-    const afterMs = Math.min(retryAfterMs, honouredMs);
+    const share = isForWantOfRoom(reason) ? RETRY_AFTER_SHARE : 1;
+    const afterMs = Math.min(retryAfterMs, Math.floor(share * ownRemainingMs));
     return this.unlessRun(
       new GatewayRefusalError(toGatewayRefusal(reason), afterMs),
     );
--- a/packages/scheduling/src/refusals/refusal_policy.ts
+++ b/packages/scheduling/src/refusals/refusal_policy.ts
@@ -194,10 +194,12 @@
     const {tier, fingerprint, timeLeftMs, isRetry} = request;
     const rate = rates.rateOf(waiting);
     const earliestMs = retryAfterMs(this.expectedWaitMs(waiting, rates), rate);
+    const isForRoom = isForWantOfRoom(reason);
+    // What is missing besides room doesn't come back sooner for callers that leave.
     const latestMs =
-      timeLeftMs === null ? MAX_RETRY_AFTER_MS : HONOURED_SHARE * timeLeftMs;
-    const {OVERLOADED, EXPIRED} = QUEUE_REFUSAL;
-    const isForRoom = reason === OVERLOADED || reason === EXPIRED;
+      timeLeftMs === null || !isForRoom
+        ? MAX_RETRY_AFTER_MS
+        : HONOURED_SHARE * timeLeftMs;
     // A gateway that seeks another upstream comes back at once, if at all.
     const mayPromise =
       isForRoom &&
@@ -234,3 +236,10 @@
     return {rateOf, differsByGateway: rates.differsByGateway};
   }
 }
+
+/** Whether a request is refused as others take the room, which will be free again. */
+export function isForWantOfRoom(reason: QueueRefusal): boolean {
+  return (
+    reason === QUEUE_REFUSAL.OVERLOADED || reason === QUEUE_REFUSAL.EXPIRED
+  );
+}
