Keep start predictions near the times seen when many streams start at once

Cause: a start was normalized by the upstream's ratio and fed back to the model that the ratio is relative to; with small ratios, and no median of them before the first run had ended, the base of a start grew without end (1e292 ms with 400 and more upstreams), and all requests were refused as expired. Change: the share of a start that the model learns from is bounded by that start, and a start below the base counts as such. The medians of large services are computed once in several ends.

--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -18,6 +18,12 @@
 const SHORTER_GAP_WEIGHT = 0.2;
 const LONGER_GAP_WEIGHT = 0.02;
 
+/** Upstreams for which the medians wait for one more end of a run. */
+const UPSTREAMS_PER_END = 64;
+
+/** Multiple of a start that its share of the median upstream's may be. */
+const MAX_GROWTH = 2;
+
 /** Predicts the start and run times of a service from samples of its upstreams. */
 export class LatencyEstimator {
   private readonly model = new StartTimeModel();
@@ -30,6 +36,8 @@
   private medianServiceTimeMs: number | null = null;
   /** Median lasting ratio of the upstreams; null before the first stream with a bound. */
   private medianRatio: number | null = null;
+  /** Ends of runs that are left until the medians are computed anew. */
+  private endsUntilMedians = 0;
 
   /** Times of the median upstream of the service. */
   readonly times: ServiceTimes = {
@@ -57,11 +65,15 @@
       return;
     }
     const baseMs = this.model.predictMs(0);
-    const workMs = (startMs - baseMs) / Math.max(1, speed.slowdownAt(nowMs));
+    const slowdown = Math.max(1, speed.slowdownAt(nowMs));
+    const workMs = Math.max(0, startMs - baseMs) / slowdown;
     const aheadMs = run.medianReadMs - this.model.prefillMs(run.promptTokens);
     speed.record(workMs, aheadMs + this.model.prefillMs(readTokens));
-    const ownMs = workMs / this.slowdownOf(state) - aheadMs;
-    this.model.observe(readTokens, Math.max(1, baseMs + ownMs));
+    const ownMs = Math.max(0, workMs / this.slowdownOf(state) - aheadMs);
+    // A prediction fed back through a small ratio must not grow without end.
+    const maxMs = MAX_GROWTH * startMs;
+    const sampleMs = Math.min(baseMs, startMs) + ownMs;
+    this.model.observe(readTokens, Math.min(maxMs, Math.max(1, sampleMs)));
   }
 
   /** Adds a sample of a whole run and updates the medians. */
@@ -83,12 +95,15 @@
     }
     const ratio = this.ratioOf(state) ?? 1;
     this.meanRunMs += TIME_SMOOTHING_FACTOR * (runMs / ratio - this.meanRunMs);
+    if (this.endsUntilMedians-- > 0) return;
     const serviceTimes: number[] = [];
     const ratios: number[] = [];
     for (const {serviceTimeMs, speed} of states) {
       if (serviceTimeMs !== null) serviceTimes.push(serviceTimeMs);
       if (speed.lastingRatio !== null) ratios.push(speed.lastingRatio);
     }
+    const knownCount = Math.max(serviceTimes.length, ratios.length);
+    this.endsUntilMedians = Math.floor(knownCount / UPSTREAMS_PER_END);
     this.medianServiceTimeMs = medianOf(serviceTimes);
     this.medianRatio = medianOf(ratios);
   }
--- a/packages/scheduling/src/placing/uneven_upstreams.test.ts
+++ b/packages/scheduling/src/placing/uneven_upstreams.test.ts
@@ -94,3 +94,23 @@
     expect(harness.placeOf('short')).toBe('slow');
   });
 });
+
+describe('streams that all start at once, before any has ended', () => {
+  it('leave predictions near the times seen', () => {
+    const count = 400;
+    const ids = Array.from({length: count}, (_, i) => `u${i}`);
+    const harness = new QueueHarness(ids.map(id => upstream(id, SLOTS)));
+    for (let i = 0; i < count * SLOTS; i++) {
+      harness.submit(stream(`s${i}`, {promptTokens: 1_000 + (i % 3_000)}));
+    }
+    for (const id of harness.order) {
+      harness.queue.handleStartReport({
+        requestId: id,
+        startMs: 100,
+        load: null,
+      });
+    }
+    harness.submit(stream('next', {promptTokens: 2_000}));
+    expect(harness.refusalOf('next')).toBeNull();
+  });
+});
