--- a/packages/scheduling/src/latency_estimator.ts
+++ b/packages/scheduling/src/latency_estimator.ts
@@ -2,7 +2,7 @@
 import {SlowdownShares} from './estimates/slowdown_shares.js';
 import type {ServiceTimes} from './placing/stream_outlook.js';
 import {StartTimeModel} from './start_time_model.js';
-import type {EndReport, StartReport} from './types.js';
+import type {EndReport, GrantRequest, StartReport} from './types.js';
 import type {ActiveRun, UpstreamState} from './upstream_state.js';
 
 /** Smallest slowdown factor, so that no prediction becomes zero. */
@@ -39,6 +39,14 @@
   /** Ends of runs that are left until the medians are computed anew. */
   private endsUntilMedians = 0;
 
+  /** Whether upstreams of the service tell how long work takes there now. */
+  private hasSlowdowns = false;
+
+  /** Whether a request's stream is placed by when its events come. */
+  isTimed({maxEventGapMs, promptTokens}: GrantRequest): boolean {
+    return this.hasSlowdowns && maxEventGapMs !== null && promptTokens > 0;
+  }
+
   /** Times of the median upstream of the service. */
   readonly times: ServiceTimes = {
     baseMs: () => this.model.predictMs(0),
@@ -59,7 +67,10 @@
   ): void {
     const {speed} = state;
     const told = speed.recordLoad(load, nowMs);
-    if (told !== null) this.slowdowns.observe(told);
+    if (told !== null) {
+      this.hasSlowdowns = true;
+      this.slowdowns.observe(told);
+    }
     if (run.medianReadMs === 0) {
       this.model.observe(readTokens, startMs / this.slowdownOf(state));
       return;
--- a/packages/scheduling/src/placing/placement_pass.ts
+++ b/packages/scheduling/src/placing/placement_pass.ts
@@ -177,7 +177,7 @@
     const {rateLimiter, latency} = this.options;
     const {requestId, entryId, tier, maxEventGapMs} = request;
     const freeSlots = state.freeSlots(nowMs);
-    const isTimed = maxEventGapMs !== null && readTokens > 0;
+    const isTimed = latency.isTimed(request) && readTokens > 0;
     const unreadTokens = isTimed ? latency.unreadTokens(state, nowMs) : 0;
     const medianReadMs = isTimed
       ? latency.times.readMs(unreadTokens + readTokens)
--- a/packages/scheduling/src/upstream_choice.ts
+++ b/packages/scheduling/src/upstream_choice.ts
@@ -111,7 +111,7 @@
       usable.some(state => isNew(state) && isReachable(state));
     if (notExcluded.length === 0 && hasAlternative()) return 'wait';
     const candidates = notExcluded.length > 0 ? notExcluded : eligible;
-    if (request.maxEventGapMs !== null && request.promptTokens > 0) {
+    if (this.latency.isTimed(request)) {
       return this.streams.choose(waiting, candidates, nowMs);
     }
     const best = this.findCheapest(request, candidates);
