--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -24,8 +24,7 @@
   | 'body_dropped'
   | 'body_too_slow'
   | 'body_unwanted'
-  | 'too_many_connections'
-  | 'reader_too_slow';
+  | 'too_many_connections';
 
 /** Counters and histograms of a gateway; durations are in milliseconds. */
 export interface GatewayMetrics {
