Log what a queue knew when a brittle upstream rejected a request

Cause: nothing told whether a rejection came since each owner of a queue takes half of what an upstream bears, or since a queue that is opened again has forgotten the rejections before.

Change: the line brittle_upstream_rejected names the bound, the runs and free slots known, and the times since the rejection before and since another owner was likely.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -92,6 +92,15 @@
   /** Records the end of a granted request and frees its upstream slot. */
   recordEnd(service: string, report: EndReport): void {
     const ended = this.queues.get(service)?.handleEndReport(report);
+    if (ended?.brittleRejection) {
+      this.log.info('brittle_upstream_rejected', {
+        upstream: ended.instanceId,
+        reportedBy: ended.entryId,
+        id: report.requestId,
+        suspects: this.hasSuspects(),
+        ...ended.brittleRejection,
+      });
+    }
     if (!ended?.hasStartedBackoff) return;
     this.log.info('upstream_backed_off', {
       upstream: ended.instanceId,
--- a/packages/scheduling/src/brittle_guard.ts
+++ b/packages/scheduling/src/brittle_guard.ts
@@ -1,4 +1,5 @@
 import {mayRiskRejection} from './rejection_risk.js';
+import type {BrittleRejection} from './types.js';
 import type {UpstreamRateLimiter} from './upstream_rate_limiter.js';
 import type {UpstreamState} from './upstream_state.js';
 
@@ -28,6 +29,24 @@
     this.lastDoubtMs = nowMs;
   }
 
+  /** What is known of an upstream that rejects a request; null if not brittle. */
+  describeRejection(
+    state: UpstreamState,
+    nowMs: number,
+  ): BrittleRejection | null {
+    const {spec, lastRejectionMs} = state;
+    const maxRejectionsPerS = this.rateLimiter.maxRejectionsPerS(spec, nowMs);
+    if (maxRejectionsPerS === null) return null;
+    return {
+      maxRejectionsPerS,
+      runs: state.runs.size - 1,
+      knownFreeSlots: state.knownFreeSlots(nowMs),
+      sinceRejectionMs:
+        lastRejectionMs === -Infinity ? null : nowMs - lastRejectionMs,
+      sinceDoubtMs: nowMs - this.lastDoubtMs,
+    };
+  }
+
   /** Whether an upstream may get another request. */
   permits(state: UpstreamState, nowMs: number): boolean {
     const {spec} = state;
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -181,13 +181,16 @@
   handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
     this.gated.gate.recordEnd(report, now);
-    if (report.end === RUN_END.REJECTED) this.brittleGuard.recordDoubt(now);
+    const isRejected = report.end === RUN_END.REJECTED;
     let ended: EndedRun | null = null;
     let change: PlacementChange | null = null;
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
+      const brittleRejection = isRejected
+        ? this.brittleGuard.describeRejection(state, now)
+        : null;
       this.prefixes.recordEnd(state, report);
       state.recordEnd(report, now);
       change = {state};
@@ -199,9 +202,11 @@
         instanceId: state.spec.instanceId,
         entryId: run.entryId,
         hasStartedBackoff: wasUsable && !state.isUsable(now),
+        brittleRejection,
       };
       break;
     }
+    if (isRejected) this.brittleGuard.recordDoubt(now);
     this.placeWaiting(change);
     return ended;
   }
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -117,6 +117,22 @@
   readonly entryId: string;
   /** Whether the upstream gets no requests for a while because of it. */
   readonly hasStartedBackoff: boolean;
+  /** What the queue knew if it was a rejection of a brittle upstream, else null. */
+  readonly brittleRejection: BrittleRejection | null;
+}
+
+/** What a queue knew of a brittle upstream that rejected a request. */
+export interface BrittleRejection {
+  /** Rejections per second beyond which the upstream crashes. */
+  readonly maxRejectionsPerS: number;
+  /** Other granted requests that had not ended there. */
+  readonly runs: number;
+  /** Slots that it had free when it told its load, less granted requests. */
+  readonly knownFreeSlots: number;
+  /** Milliseconds since the rejection before it; null if none is known. */
+  readonly sinceRejectionMs: number | null;
+  /** Milliseconds since another member was likely to own the queue too. */
+  readonly sinceDoubtMs: number;
 }
 
 /** Answer of the queue to a grant request. */
