Divide brittle upstreams among all members, not between two owners

Cause: each owner of a queue took half of what an engine bears and has free, since there may be two. Members that are cut off singly make as many owners as there are members; from three on the halves overlap. Beside it, a queue that moved forgot the rejections, and an engine that came back under another id counted as sturdy until it answered.

Evidence: brittle_rejected lines of six owners: each of 8 engines fell at the first rejections of owners with suspects. Ruled out: callers that leave (0 falls).

Change: slots and rejections are dealt out to all members by rank; in doubt an owner uses the parts of the members that ask it, so that no two owners use the same slot. What was granted before has 3 s to end. The guard belongs to the service, not to its queue; an engine that has not answered counts as brittle while others are.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -365,3 +365,6 @@
 
 /** Maximum number of prompt parts of one request that are considered. */
 export const MAX_PROMPT_PARTS = 64;
+
+/** Maximum number of keys whose ranking of the members is remembered. */
+export const MAX_RANKED_KEYS = 2_048;
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -4,6 +4,7 @@
   EndReport,
   GrantRequest,
   QueueAnswer,
+  QueueMembers,
   QueuePreview,
   QueueStats,
   RetryBudgetBounds,
@@ -13,6 +14,7 @@
   VersionGate,
 } from '@fescuespool/scheduling';
 import {
+  BrittleGuard,
   DispatchQueue,
   OPEN_GATE,
   queueStats,
@@ -37,6 +39,8 @@
   /** Counts the grants to limited upstreams. */
   readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
+  /** By service; kept when its queue is closed. */
+  private readonly brittleGuards = new Map<string, BrittleGuard>();
   private upstreams: UpstreamsByService = new Map();
   private readonly ticks = new OnDemandInterval(QUEUE_TICK_INTERVAL_MS, () => {
     this.tick();
@@ -52,8 +56,7 @@
     private readonly upstreamLimits: UpstreamLimits,
     /** Whether this member owns the queue of a service. */
     private readonly isOwner: (service: string) => boolean,
-    /** Whether there are members that this one can't reach. */
-    private readonly hasSuspects: () => boolean,
+    private readonly members: QueueMembers,
     /** Decides which versions of a service may get requests. */
     private readonly versionGateOf: (service: string) => VersionGate = () =>
       OPEN_GATE,
@@ -97,7 +100,7 @@
         upstream: ended.instanceId,
         reportedBy: ended.entryId,
         id: report.requestId,
-        suspects: this.hasSuspects(),
+        suspects: this.members.hasSuspects(),
         ...ended.brittleRejection,
       });
     }
@@ -135,8 +138,16 @@
 
   /** Replaces the upstreams of all queues, also future ones. */
   setUpstreams(upstreams: UpstreamsByService): void {
+    const now = this.clock.monotonicMs();
+    for (const [service, specs] of this.upstreams) {
+      this.guardOf(service).recordLimits(specs, now);
+    }
     this.upstreams = upstreams;
     this.rateLimiter.retain([...upstreams.values()].flat());
+    for (const service of this.brittleGuards.keys()) {
+      const isUsed = upstreams.has(service) || this.queues.has(service);
+      if (!isUsed) this.brittleGuards.delete(service);
+    }
     for (const [service, queue] of this.queues) {
       queue.setUpstreams(upstreams.get(service) ?? []);
     }
@@ -183,6 +194,7 @@
     if (existing) return existing;
     const queue = this.createQueue(service);
     this.queues.set(service, queue);
+    this.guardOf(service).recordOpened(this.clock.monotonicMs());
     if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
     this.log.info('queue_opened', {service});
     return queue;
@@ -193,13 +205,21 @@
       nowMs: this.clock.monotonicMs,
       retryBudget: new RetryBudget(this.retryBudgetBounds),
       rateLimiter: this.rateLimiter,
-      mayHaveOtherOwner: this.hasSuspects,
+      brittleGuard: this.guardOf(service),
       versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     return queue;
   }
 
+  private guardOf(service: string): BrittleGuard {
+    const existing = this.brittleGuards.get(service);
+    if (existing) return existing;
+    const guard = new BrittleGuard(this.rateLimiter, this.members);
+    this.brittleGuards.set(service, guard);
+    return guard;
+  }
+
   private tick(): void {
     this.rebuildAfterStall();
     for (const queue of this.queues.values()) queue.tick();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,7 +100,6 @@
     );
     this.peers = new GatewayPeers(members, network);
     this.monitor = new PeerMonitor(clock, log, members, network);
-    const hasSuspects = (): boolean => members.suspectedMembers.length > 0;
     this.rollouts = createRollouts(options, members, this.upstreams);
     this.dispatcher = new Dispatcher(
       clock,
@@ -108,7 +107,7 @@
       settings.retryBudget,
       this.upstreamLimits,
       key => members.isOwnerOf(key),
-      hasSuspects,
+      members.queueMembers,
       service => this.rollouts.gateOf(service),
     );
     const dispatchClient = new DispatchClient(
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -1,4 +1,7 @@
 import {rankMembers} from '@fescuespool/coordination';
+import type {QueueMembers} from '@fescuespool/scheduling';
+import {LRUCache} from 'lru-cache';
+import {MAX_RANKED_KEYS} from './constants.js';
 import type {GatewayMember} from './types.js';
 
 /**
@@ -9,7 +12,9 @@
 export class MemberDirectory {
   private members = new Map<string, GatewayMember>();
   private readonly suspectedIds = new Set<string>();
-  private readonly rankedIdsByKey = new Map<string, string[]>();
+  private readonly rankedIdsByKey = new LRUCache<string, string[]>({
+    max: MAX_RANKED_KEYS,
+  });
   private goByRecord: boolean | null = null;
   private readonly changeListeners: Array<() => void> = [];
   private readonly suspectListeners: Array<(memberId: string) => void> = [];
@@ -18,6 +23,16 @@
     this.members.set(ownMember.id, ownMember);
   }
 
+  /** The members as the owner of a queue sees them. */
+  get queueMembers(): QueueMembers {
+    return {
+      localId: this.ownMember.id,
+      isSuspected: id => this.isSuspected(id),
+      hasSuspects: () => this.suspectedIds.size > 0,
+      rankedFor: key => this.rankedIds(key),
+    };
+  }
+
   /** This member, as published to the others. */
   get localMember(): GatewayMember {
     return this.ownMember;
--- a/packages/scheduling/src/brittle_upstreams.test.ts
+++ b/packages/scheduling/src/brittle_upstreams.test.ts
@@ -3,6 +3,7 @@
   ACCEPTED_AFTER_MS,
   BRITTLE_CAUTION_MS,
   BRITTLE_PAUSE_MS,
+  BRITTLE_SETTLE_MS,
   BRITTLE_SHARE,
   RUN_END,
 } from './constants.js';
@@ -172,10 +173,14 @@
   const risk = (changes: Partial<RejectionRisk>): RejectionRisk => ({
     maxRejectionsPerS: 4,
     knownFreeSlots: 0,
+    runs: 0,
     unconfirmedRuns: 0,
     unstartedRuns: 0,
     sinceDoubtMs: Infinity,
     sinceRejectionMs: Infinity,
+    rejectionStreak: 0,
+    sinceSplitMs: 0,
+    share: () => ({slots: SLOTS, rejections: 2}),
     ...changes,
   });
 
@@ -203,6 +208,40 @@
     ]);
   });
 
+  describe('of which other dispatchers may use a part', () => {
+    const mayGet = (changes: Partial<RejectionRisk>): boolean =>
+      mayRiskRejection(risk({sinceDoubtMs: 0, ...changes}));
+    const share = (slots: number, rejections: number) => () => ({
+      slots,
+      rejections,
+    });
+
+    it('gets none beyond the share of its slots', () => {
+      const sinceSplitMs = BRITTLE_SETTLE_MS;
+      const runs = [1, 2].map(count =>
+        mayGet({sinceSplitMs, runs: count, share: share(2, 0)}),
+      );
+      expect(runs).toEqual([true, false]);
+    });
+
+    it('gets none that it may not reject while their requests may still run', () => {
+      const sinceSplitMs = BRITTLE_SETTLE_MS - 1;
+      expect(mayGet({sinceSplitMs, share: share(2, 0)})).toBe(false);
+      expect(mayGet({sinceSplitMs, share: share(2, 1)})).toBe(true);
+    });
+
+    it('gets them more rarely with each rejection in a row', () => {
+      const mayGetAfter = (rejectionStreak: number): boolean =>
+        mayGet({
+          sinceSplitMs: Infinity,
+          sinceRejectionMs: 2 * BRITTLE_SETTLE_MS,
+          rejectionStreak,
+          share: share(2, 0),
+        });
+      expect([1, 2].map(mayGetAfter)).toEqual([true, false]);
+    });
+  });
+
   it('gets half of what it has room for beyond that', () => {
     const mayGet = (unconfirmedRuns: number): boolean =>
       mayRiskRejection(risk({knownFreeSlots: 4, unconfirmedRuns}));
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -194,8 +194,8 @@
 export const QUOTA_TOLERANCE_SHARE = 0.3;
 
 /**
- * Share of an upstream's free slots, and of the rejections that it bears, which one
- * dispatcher may use: there may be two in a partition.
+ * Share of an upstream's free slots, and of the rejections that it bears, which may
+ * be in use: what is known of it is somewhat old.
  */
 export const BRITTLE_SHARE = 0.5;
 
@@ -206,8 +206,8 @@
 export const BRITTLE_PAUSE_MS = 1_100;
 
 /**
- * Time in milliseconds after a rejection for which another dispatcher is assumed to
- * use the same upstreams; most partitions are over by then.
+ * Time in milliseconds after the last sign of another dispatcher for which it is
+ * assumed to use the same upstreams; most partitions are over by then.
  */
 export const BRITTLE_CAUTION_MS = 10_000;
 
@@ -216,3 +216,21 @@
  * rejections come at once.
  */
 export const ACCEPTED_AFTER_MS = 100;
+
+/**
+ * Time in milliseconds after which a dispatcher's share of brittle upstreams counts
+ * as free of what others had granted before.
+ */
+export const BRITTLE_SETTLE_MS = 3_000;
+
+/** Rejections in a row that lengthen the wait until a share counts as free. */
+export const MAX_REJECTION_STREAK = 3;
+
+/**
+ * Time in milliseconds after an entry's last message for which it is assumed to ask
+ * no other dispatcher: several intervals of its reports.
+ */
+export const QUEUE_CONTACT_MS = 1_000;
+
+/** Maximum number of entries whose last message is remembered. */
+export const MAX_QUEUE_ENTRIES = 1_024;
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -1,4 +1,4 @@
-import {BrittleGuard} from './brittle_guard.js';
+import type {BrittleGuard} from './brittle_guard.js';
 import {
   ENTRY_TIMEOUT_MS,
   MIN_RECONCILE_AGE_MS,
@@ -39,8 +39,8 @@
   readonly nowMs: () => number;
   readonly retryBudget: RetryBudget;
   readonly rateLimiter: UpstreamRateLimiter;
-  /** Whether a member that can't be reached may own the queue as well. */
-  readonly mayHaveOtherOwner: () => boolean;
+  /** What is known of the service's brittle upstreams. */
+  readonly brittleGuard: BrittleGuard;
   /** Decides which software versions may get a request; all without it. */
   readonly versionGate?: () => VersionGate;
 }
@@ -70,23 +70,17 @@
       if (isRetry) this.options.retryBudget.giveBack();
     },
   });
-  private readonly brittleGuard: BrittleGuard;
 
   constructor(private readonly options: DispatchQueueOptions) {
-    const {rateLimiter, mayHaveOtherOwner, nowMs} = options;
+    const {rateLimiter, brittleGuard} = options;
     const {versionGate = () => OPEN_GATE} = options;
     this.gated = new GatedUpstreams(this.upstreams, versionGate);
     this.prefixes = new PromptPrefixes(this.latency);
-    this.brittleGuard = new BrittleGuard(
-      rateLimiter,
-      mayHaveOtherOwner,
-      nowMs(),
-    );
     this.placement = new PlacementPass({
       waiting: this.waiting,
       latency: this.latency,
       rateLimiter,
-      brittleGuard: this.brittleGuard,
+      brittleGuard,
       gated: this.gated,
       heldTokens: this.prefixes.heldTokens,
       recordGrant: (request, state, now) =>
@@ -112,7 +106,7 @@
   /** Queues a request; `answer` gets its placement or refusal, now or later. */
   submit(request: GrantRequest, answer: (answer: QueueAnswer) => void): void {
     const now = this.options.nowMs();
-    this.entryMonitor.recordContact(request.entryId, now);
+    this.recordContact(request.entryId, now);
     if (!request.isRetry) this.options.retryBudget.recordRequest();
     else if (!this.options.retryBudget.tryTake(now)) {
       answer({
@@ -169,6 +163,7 @@
       const idleStartMs = this.idleStartMs(readTokens);
       this.refusals.recordStart(idleStartMs, report.startMs);
       state.recordStart(report.requestId, report.load, now);
+      this.options.brittleGuard.recordAccepted(state);
       this.placement.recordChange(state);
       return;
     }
@@ -181,21 +176,23 @@
   handleEndReport(report: EndReport): EndedRun | null {
     const now = this.options.nowMs();
     this.gated.gate.recordEnd(report, now);
-    const isRejected = report.end === RUN_END.REJECTED;
     let ended: EndedRun | null = null;
     let change: PlacementChange | null = null;
     for (const state of this.upstreams.values()) {
       const run = state.runs.get(report.requestId);
       if (!run) continue;
       const wasUsable = state.isUsable(now);
-      const brittleRejection = isRejected
-        ? this.brittleGuard.describeRejection(state, now)
-        : null;
+      const {brittleGuard} = this.options;
+      const brittleRejection =
+        report.end === RUN_END.REJECTED
+          ? brittleGuard.recordRejection(state, now)
+          : null;
       this.prefixes.recordEnd(state, report);
       state.recordEnd(report, now);
       change = {state};
       this.placement.recordChange(state);
       if (report.end === RUN_END.COMPLETED) {
+        brittleGuard.recordAccepted(state);
         this.latency.observeRun(this.upstreams.values(), state, report, run);
       }
       ended = {
@@ -206,7 +203,6 @@
       };
       break;
     }
-    if (isRejected) this.brittleGuard.recordDoubt(now);
     this.placeWaiting(change);
     return ended;
   }
@@ -221,7 +217,7 @@
     runs: readonly {requestId: string; instanceId: string}[],
   ): void {
     const now = this.options.nowMs();
-    this.entryMonitor.recordContact(entryId, now);
+    this.recordContact(entryId, now);
     const reportedIds = new Set(runs.map(run => run.requestId));
     for (const state of this.upstreams.values()) {
       for (const run of [...state.runs.values()]) {
@@ -288,6 +284,11 @@
     for (const {answer} of this.waiting.takeAll()) answer({kind: 'moved'});
   }
 
+  private recordContact(entryId: string, now: number): void {
+    this.entryMonitor.recordContact(entryId, now);
+    this.options.brittleGuard.recordContact(entryId, now);
+  }
+
   /** Expected milliseconds to the first byte on the fastest idle upstream. */
   private idleStartMs(promptTokens: number): number {
     return this.latency.minStartMs(this.upstreams.values(), promptTokens);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -22,6 +22,7 @@
 export * from './upstream_limits.js';
 export * from './upstream_pauses.js';
 export * from './upstream_rate_limiter.js';
+export * from './upstream_share.js';
 export * from './upstream_state.js';
 export * from './waiting_list.js';
 export * from './waiting_request.js';
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -1,3 +1,5 @@
+import type {QueueMembers} from '../brittle_guard.js';
+import {BrittleGuard} from '../brittle_guard.js';
 import {RUN_END} from '../constants.js';
 import {DispatchQueue} from '../dispatch_queue.js';
 import {RetryBudget} from '../retry_budget.js';
@@ -18,6 +20,13 @@
 /** Entry of all requests. */
 export const ENTRY = 'entry-1';
 
+const ONE_MEMBER: QueueMembers = {
+  localId: ENTRY,
+  isSuspected: () => false,
+  hasSuspects: () => false,
+  rankedFor: () => [ENTRY],
+};
+
 /** An upstream with defaults for all but the given fields. */
 export function upstream(
   id: string,
@@ -92,11 +101,14 @@
     versionGate = OPEN_GATE,
   ) {
     const budget = {ratio: 0, extra: extraRetries, windowMs: 10_000};
+    const rateLimiter = new UpstreamRateLimiter(this.limits, this.pauses);
+    const brittleGuard = new BrittleGuard(rateLimiter, ONE_MEMBER);
+    brittleGuard.recordOpened(this.nowMs);
     this.queue = new DispatchQueue({
       nowMs: () => this.nowMs,
       retryBudget: new RetryBudget(budget),
-      rateLimiter: new UpstreamRateLimiter(this.limits, this.pauses),
-      mayHaveOtherOwner: () => false,
+      rateLimiter,
+      brittleGuard,
       versionGate: () => versionGate,
     });
     this.queue.setUpstreams(specs);
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -131,8 +131,14 @@
   readonly knownFreeSlots: number;
   /** Milliseconds since the rejection before it; null if none is known. */
   readonly sinceRejectionMs: number | null;
-  /** Milliseconds since another member was likely to own the queue too. */
-  readonly sinceDoubtMs: number;
+  /** Milliseconds since another member was likely to own the queue too; or null. */
+  readonly sinceDoubtMs: number | null;
+  /** Milliseconds since the queue began to keep to its share; null if never. */
+  readonly sinceSplitMs: number | null;
+  /** Slots of the upstream that the members of the queue may use in doubt. */
+  readonly slotsShared: number;
+  /** Requests that the upstream may reject at a time for these members. */
+  readonly rejectionsShared: number;
 }
 
 /** Answer of the queue to a grant request. */
--- a/packages/scheduling/src/upstream_state.ts
+++ b/packages/scheduling/src/upstream_state.ts
@@ -65,8 +65,6 @@
   lastStartAtMs = -Infinity;
   /** Moving average of the share of failed runs, from 0 to 1. */
   failureRate = 0;
-  /** Time in milliseconds of the last rejection. */
-  lastRejectionMs = -Infinity;
   /** Backoffs since a newer run last responded. */
   private backoffCount = 0;
   /** Broken connections since a newer run last responded. */
@@ -173,6 +171,11 @@
     this.applyOutcome(report.end, nowMs);
   }
 
+  /** Whether a run has begun to respond since the state was created. */
+  get hasResponded(): boolean {
+    return this.lastResponseMs > -Infinity;
+  }
+
   /** Number of runs that have not sent a first byte yet. */
   get unstartedRuns(): number {
     let count = 0;
@@ -253,7 +256,6 @@
         this.backoffUntilMs = nowMs + REPLACED_BACKOFF_MS;
         return;
       case RUN_END.REJECTED:
-        this.lastRejectionMs = nowMs;
         this.externalRuns = Math.max(0, this.spec.slots - this.runs.size);
         this.externalRunsUntilMs = nowMs + FULL_AFTER_REJECTION_MS;
         return;
