Divide the retry budget among all members that don't reach each other

Callers would see: engines that get more repeated requests than the budget of all gateways allows, in a partition or while suspicions come and go.

Each queue began with two fifths of the budget's fixed part, since there may be two owners; members that are cut off singly each own a queue, and a queue that moves away and back began anew.

Change: the budget belongs to the service and outlives its queue; while members are suspected, an owner spends only the part of those that it reaches. With one owner nothing changes.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -28,6 +28,12 @@
 /** Registered upstreams, keyed by service name. */
 export type UpstreamsByService = ReadonlyMap<string, readonly UpstreamSpec[]>;
 
+/** What is kept of a service while its queue is closed and opened again. */
+interface ServiceMemory {
+  readonly brittleGuard: BrittleGuard;
+  readonly retryBudget: RetryBudget;
+}
+
 /**
  * Manages the dispatch queues that this member owns. Queue state is not
  * persisted: entries report their running requests periodically, and repeat
@@ -39,8 +45,7 @@
   /** Counts the grants to limited upstreams. */
   readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
-  /** By service; kept when its queue is closed. */
-  private readonly brittleGuards = new Map<string, BrittleGuard>();
+  private readonly memories = new Map<string, ServiceMemory>();
   private upstreams: UpstreamsByService = new Map();
   private readonly ticks = new OnDemandInterval(QUEUE_TICK_INTERVAL_MS, () => {
     this.tick();
@@ -140,13 +145,13 @@
   setUpstreams(upstreams: UpstreamsByService): void {
     const now = this.clock.monotonicMs();
     for (const [service, specs] of this.upstreams) {
-      this.guardOf(service).recordLimits(specs, now);
+      this.memoryOf(service).brittleGuard.recordLimits(specs, now);
     }
     this.upstreams = upstreams;
     this.rateLimiter.retain([...upstreams.values()].flat());
-    for (const service of this.brittleGuards.keys()) {
+    for (const service of this.memories.keys()) {
       const isUsed = upstreams.has(service) || this.queues.has(service);
-      if (!isUsed) this.brittleGuards.delete(service);
+      if (!isUsed) this.memories.delete(service);
     }
     for (const [service, queue] of this.queues) {
       queue.setUpstreams(upstreams.get(service) ?? []);
@@ -156,7 +161,7 @@
   /** Replaces the bounds of the retry budgets of all queues, also future ones. */
   setRetryBudget(bounds: RetryBudgetBounds): void {
     this.retryBudgetBounds = bounds;
-    for (const {retryBudget} of this.queues.values())
+    for (const {retryBudget} of this.memories.values())
       retryBudget.setBounds(bounds);
   }
 
@@ -194,7 +199,7 @@
     if (existing) return existing;
     const queue = this.createQueue(service);
     this.queues.set(service, queue);
-    this.guardOf(service).recordOpened(this.clock.monotonicMs());
+    this.memoryOf(service).brittleGuard.recordOpened(this.clock.monotonicMs());
     if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
     this.log.info('queue_opened', {service});
     return queue;
@@ -203,21 +208,24 @@
   private createQueue(service: string): DispatchQueue {
     const queue = new DispatchQueue({
       nowMs: this.clock.monotonicMs,
-      retryBudget: new RetryBudget(this.retryBudgetBounds),
       rateLimiter: this.rateLimiter,
-      brittleGuard: this.guardOf(service),
+      ...this.memoryOf(service),
       versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     return queue;
   }
 
-  private guardOf(service: string): BrittleGuard {
-    const existing = this.brittleGuards.get(service);
+  private memoryOf(service: string): ServiceMemory {
+    const existing = this.memories.get(service);
     if (existing) return existing;
-    const guard = new BrittleGuard(this.rateLimiter, this.members);
-    this.brittleGuards.set(service, guard);
-    return guard;
+    const {members, rateLimiter} = this;
+    const memory: ServiceMemory = {
+      brittleGuard: new BrittleGuard(rateLimiter, members),
+      retryBudget: new RetryBudget(this.retryBudgetBounds, members.reachedPart),
+    };
+    this.memories.set(service, memory);
+    return memory;
   }
 
   private tick(): void {
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -29,6 +29,7 @@
       localId: this.ownMember.id,
       isSuspected: id => this.isSuspected(id),
       hasSuspects: () => this.suspectedIds.size > 0,
+      reachedPart: () => 1 - this.suspectedIds.size / this.members.size,
       rankedFor: key => this.rankedIds(key),
     };
   }
--- a/packages/scheduling/src/brittle_guard.ts
+++ b/packages/scheduling/src/brittle_guard.ts
@@ -22,6 +22,8 @@
   readonly isSuspected: (memberId: string) => boolean;
   /** Whether any member is suspected. */
   readonly hasSuspects: () => boolean;
+  /** Part of all members, from 0 to 1, that are not suspected. */
+  readonly reachedPart: () => number;
   /** All members by their rank for a key, also those that can't be reached. */
   readonly rankedFor: (key: string) => readonly string[];
 }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -131,11 +131,14 @@
 export const MAX_RETRY_AFTER_MS = 5_000;
 
 /**
- * Share of the retry budget's fixed part that one dispatcher may spend. Two
- * dispatchers may hold the same queue during a partition.
+ * Share of the retry budget's fixed part that the dispatcher of all members may
+ * spend; the rest is for those that don't reach it.
  */
 export const RETRY_EXTRA_SHARE = 0.4;
 
+/** Share of it that all members spend together while some don't reach each other. */
+export const MEMBERS_EXTRA_SHARE = 0.5;
+
 /** Share of the retry budget's ratio in use; allows for differing counts. */
 export const RETRY_RATIO_SHARE = 0.9;
 
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -1,4 +1,8 @@
-import {RETRY_EXTRA_SHARE, RETRY_RATIO_SHARE} from './constants.js';
+import {
+  MEMBERS_EXTRA_SHARE,
+  RETRY_EXTRA_SHARE,
+  RETRY_RATIO_SHARE,
+} from './constants.js';
 
 /** Limit on retries over any time window of the given length. */
 export interface RetryBudgetBounds {
@@ -19,7 +23,11 @@
   private tokens: number;
   private filledAtMs: number | null = null;
 
-  constructor(private bounds: RetryBudgetBounds) {
+  constructor(
+    private bounds: RetryBudgetBounds,
+    /** Part of all members, from 0 to 1, that the budget's owner reaches. */
+    private readonly reachedPart: () => number = () => 1,
+  ) {
     this.tokens = this.capacity;
   }
 
@@ -57,6 +65,11 @@
   }
 
   private get capacity(): number {
-    return Math.max(1, this.bounds.extra * RETRY_EXTRA_SHARE);
+    const part = this.reachedPart();
+    const share =
+      part < 1
+        ? Math.min(RETRY_EXTRA_SHARE, part * MEMBERS_EXTRA_SHARE)
+        : RETRY_EXTRA_SHARE;
+    return Math.max(1, this.bounds.extra * share);
   }
 }
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -24,6 +24,7 @@
   localId: ENTRY,
   isSuspected: () => false,
   hasSuspects: () => false,
+  reachedPart: () => 1,
   rankedFor: () => [ENTRY],
 };
 
