Forward no response without a length as whole after a reset

Cause: Node.js ends such a response as complete when its connection is reset. The gateway asks the exchange whether that happened, the daemon did not.

Change: isWholeResponse in the transport, asked by gateway and daemon.

--- a/packages/daemon/src/application_handler.ts
+++ b/packages/daemon/src/application_handler.ts
@@ -8,7 +8,11 @@
 import {HEADER, RefusalError} from '@fescuespool/protocol';
 import type {ServiceConfig} from '@fescuespool/state';
 import type {HttpExchange} from '@fescuespool/transport';
-import {readBody, writeWithBackpressure} from '@fescuespool/transport';
+import {
+  isWholeResponse,
+  readBody,
+  writeWithBackpressure,
+} from '@fescuespool/transport';
 import type {ServerResponse} from 'node:http';
 import type {ApplicationCall, ResponseConsumer} from './application_run.js';
 import {forwardedHeaders, runApplicationCall} from './application_run.js';
@@ -53,7 +57,7 @@
 /**
  * Creates a consumer that streams the response of an upstream to the caller.
  */
-function forwardResponse(
+export function forwardResponse(
   res: ServerResponse,
   requestId: string,
 ): ResponseConsumer {
@@ -70,6 +74,7 @@
       for await (const chunk of upstreamRes as AsyncIterable<Buffer>) {
         if (!(await writeWithBackpressure(res, chunk))) return false;
       }
+      if (!isWholeResponse(exchange)) return false;
       res.end();
       return true;
     } catch {
@@ -85,6 +90,7 @@
   try {
     const {res} = exchange;
     const body = await readBody(res, MAX_BUFFERED_RESPONSE_BYTES);
+    if (!isWholeResponse(exchange)) return null;
     const headers: Record<string, string> = {};
     for (const [name, value] of Object.entries(forwardedHeaders(res.headers))) {
       headers[name] = Array.isArray(value) ? value.join(', ') : value;
--- a/packages/gateway/src/response_body.ts
+++ b/packages/gateway/src/response_body.ts
@@ -1,5 +1,5 @@
 import type {HttpExchange} from '@fescuespool/transport';
-import {ByteAccumulator} from '@fescuespool/transport';
+import {ByteAccumulator, isWholeResponse} from '@fescuespool/transport';
 import {
   MAX_BUFFERED_CHUNKS,
   MAX_BUFFERED_RESPONSE_BYTES,
@@ -58,7 +58,7 @@
         : 'connection broke during the response',
     );
   }
-  if (!res.complete || exchange.hasFailed()) return fail('response incomplete');
+  if (!isWholeResponse(exchange)) return fail('response incomplete');
   share.complete();
   const {rawHeaders} = res;
   const status = res.statusCode ?? 0;
--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -1,6 +1,6 @@
 import {RESPONSE_SURVIVAL_MS} from '@fescuespool/coordination';
 import type {HttpExchange} from '@fescuespool/transport';
-import {whenDrained} from '@fescuespool/transport';
+import {isWholeResponse, whenDrained} from '@fescuespool/transport';
 import type {ServerResponse} from 'node:http';
 import type {StreamEvent} from './event_splitter.js';
 import {EventSplitter} from './event_splitter.js';
@@ -218,8 +218,8 @@
   }
 
   private judgeEnd(): RelayEnd {
-    const {res, hasFailed, isDelimitedByClose} = this.exchange;
-    if (!res.complete || hasFailed()) return 'broken';
+    const {isDelimitedByClose} = this.exchange;
+    if (!isWholeResponse(this.exchange)) return 'broken';
     // A stream may end without the blank line that completes its last event;
     // that event has not been forwarded.
     if (this.splitter.pendingBytes > 0) return 'broken';
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -172,6 +172,14 @@
   );
 }
 
+/** Whether a response that was read to its end is whole. */
+export function isWholeResponse({
+  res,
+  hasFailed,
+}: Pick<HttpExchange, 'res' | 'hasFailed'>): boolean {
+  return res.complete && !hasFailed();
+}
+
 /**
  * Reads a complete body; throws a BodyTooLargeError above `maxBytes`, or the
  * stream's error if it breaks.
