Take no response with a status that HTTP does not have

Cause: nothing asked whether a status is one.

Change: openExchange fails for a status outside 200 to 599 as for a connection that broke after the send: repeatable requests go on elsewhere, others end as 502.

--- a/packages/transport/src/http_client.test.ts
+++ b/packages/transport/src/http_client.test.ts
@@ -77,6 +77,18 @@
     });
   });
 
+  describe('with a status that HTTP does not have', () => {
+    it.each(['000', '099', '600', '999'])(
+      'reports %s as a failure',
+      async status => {
+        const head = `HTTP/1.1 ${status} Odd\r\ncontent-length: 4\r\n\r\n`;
+        const url = await serve(socket => socket.write(`${head}text`));
+        const opened = await openExchange({url, method: 'GET'});
+        expect(opened._unsafeUnwrapErr().kind).toBe('ambiguous');
+      },
+    );
+  });
+
   describe('with a raw path', () => {
     it('sends the path unchanged', async () => {
       let line = '';
--- a/packages/transport/src/http_client.ts
+++ b/packages/transport/src/http_client.ts
@@ -30,6 +30,10 @@
   readonly signal?: AbortSignal;
 }
 
+/** Range of the statuses with which HTTP answers a request. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
 /** An HTTP exchange whose response head has arrived. */
 export interface HttpExchange {
   readonly res: http.IncomingMessage;
@@ -125,6 +129,12 @@
     });
     req.on('response', res => {
       stopTimers();
+      const {statusCode = 0} = res;
+      if (statusCode < FIRST_FINAL_STATUS || statusCode > LAST_STATUS) {
+        req.destroy();
+        fail(new Error(`status ${statusCode} does not exist`));
+        return;
+      }
       const endsWithConnection = isDelimitedByClose(res);
       if (endsWithConnection) {
         res.socket.prependOnceListener('end', () => {
