Keep the ranking of members over suspicions, and count shares without a pass over all

Cause: each suspicion that began or ended dropped the rankings by which brittle upstreams are divided, and each decision went over all members; the first costs an owner 370 hashes an upstream at 370 members, the second about 11 us a decision.

Change: rankings are dropped with the member list only, on which alone they depend; shares are counted over an upstream's parts.

--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -81,6 +81,8 @@
     for (const id of [...this.suspectedIds]) {
       if (!this.members.has(id)) this.suspectedIds.delete(id);
     }
+    this.rankedIdsByKey.clear();
+    this.goByRecord = null;
     this.notifyChange();
   }
 
@@ -88,6 +90,7 @@
   leave(): void {
     this.ownMember = {...this.ownMember, isLeaving: true};
     this.members.set(this.ownMember.id, this.ownMember);
+    this.rankedIdsByKey.clear();
     this.notifyChange();
   }
 
@@ -166,8 +169,6 @@
   }
 
   private notifyChange(): void {
-    this.rankedIdsByKey.clear();
-    this.goByRecord = null;
     for (const listener of this.changeListeners) listener();
   }
 }
--- a/packages/scheduling/src/upstream_share.ts
+++ b/packages/scheduling/src/upstream_share.ts
@@ -16,16 +16,17 @@
   usesQueue: (memberId: string) => boolean,
 ): UpstreamShare {
   const count = rankedMembers.length;
-  const countOf = (parts: number, ranking: readonly string[]): number => {
+  if (count === 0) return whole;
+  const countOf = (parts: number, rankOf: (part: number) => number): number => {
     const rounds = Math.floor(parts / count);
-    return ranking.reduce((sum, memberId, rank) => {
-      const own = rounds + (rank < parts % count ? 1 : 0);
-      return usesQueue(memberId) ? sum + own : sum;
-    }, 0);
+    let own = rounds > 0 ? rounds * rankedMembers.filter(usesQueue).length : 0;
+    for (let part = 0; part < parts % count; part++) {
+      if (usesQueue(rankedMembers[rankOf(part)]!)) own++;
+    }
+    return own;
   };
-  if (count === 0) return whole;
   return {
-    slots: countOf(whole.slots, rankedMembers),
-    rejections: countOf(whole.rejections, rankedMembers.toReversed()),
+    slots: countOf(whole.slots, part => part),
+    rejections: countOf(whole.rejections, part => count - 1 - part),
   };
 }
