Take a rejection that another owner's run got for a sign of that owner

Cause: since the guard of brittle upstreams is told of rejections by upstream, a rejection of a run that this queue did not grant went unnoticed; it was a sign of another owner before. Found by reading.

Change: such a rejection is recorded as a doubt again.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -45,6 +45,7 @@
   /** Counts the grants to limited upstreams. */
   readonly rateLimiter: UpstreamRateLimiter;
   private readonly queues = new Map<string, DispatchQueue>();
+  /** By service. */
   private readonly memories = new Map<string, ServiceMemory>();
   private upstreams: UpstreamsByService = new Map();
   private readonly ticks = new OnDemandInterval(QUEUE_TICK_INTERVAL_MS, () => {
--- a/packages/scheduling/src/brittle_guard.ts
+++ b/packages/scheduling/src/brittle_guard.ts
@@ -24,7 +24,7 @@
   readonly hasSuspects: () => boolean;
   /** Part of all members, from 0 to 1, that are not suspected. */
   readonly reachedPart: () => number;
-  /** All members by their rank for a key, also those that can't be reached. */
+  /** All that don't leave, by their rank for a key; also those not reached. */
   readonly rankedFor: (key: string) => readonly string[];
 }
 
@@ -74,6 +74,13 @@
     this.openedAtMs = nowMs;
   }
 
+  /** Records a sign that others use the upstreams too. */
+  recordDoubt(nowMs: number): void {
+    const wasCertain = nowMs - this.lastDoubtMs >= BRITTLE_CAUTION_MS;
+    this.lastDoubtMs = nowMs;
+    if (wasCertain) this.splitAtMs = nowMs;
+  }
+
   /** Records a message from a member that uses the queue. */
   recordContact(entryId: string, nowMs: number): void {
     this.contactMs.set(entryId, nowMs);
@@ -145,12 +152,6 @@
     });
   }
 
-  private recordDoubt(nowMs: number): void {
-    const wasCertain = nowMs - this.lastDoubtMs >= BRITTLE_CAUTION_MS;
-    this.lastDoubtMs = nowMs;
-    if (wasCertain) this.splitAtMs = nowMs;
-  }
-
   /**
    * Rejections per second that an upstream bears; null if it is not brittle. One
    * that has not answered yet counts as brittle while others of its service are.
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -203,6 +203,9 @@
       };
       break;
     }
+    // Another owner has granted it.
+    const isForeign = ended === null && report.end === RUN_END.REJECTED;
+    if (isForeign) this.options.brittleGuard.recordDoubt(now);
     this.placeWaiting(change);
     return ended;
   }
