A gateway that stops waits until callers have their responses

Callers saw: a response that an upstream had finished before the stop broke off, with 3,919,684 of 12,000,000 bytes, when a caller read slowly; of three requests sent ahead two had no response at all. Cause: CallerServer counted a request as ended when its response was handed to Node.js, not when it was sent. The stop then took the gateway for idle; server.close() and closeIdleConnections() close connections whose last response has been handed over, as Node.js takes them for idle, and closeAllConnections() and the end of the process cut the rest.

Ruled out: the limits of the requests, which lay behind the end of the grace (all had their log line of a complete response before SIGTERM), and the callers' side, which closed nothing.

Change: a response is open until the operating system has all of it or its connection is closed (OpenResponses); the stop waits for that within the grace, as it did for requests. IdleConnections, which already counts open responses, decides which connections are idle, also for server.close(). A connection on which a request has begun to come is kept, as before. gateway_stopped tells how many responses were cut, how far they had come and how many of their bytes were not sent. Why it works: 'close' of a response follows its 'finish', which comes with the write of its last byte, or the loss of its connection, so that no response is left out and none is waited for in vain.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -13,6 +13,8 @@
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import type {OpenResponseCounts} from './open_responses.js';
+import {OpenResponses} from './open_responses.js';
 import {partIds} from './prompt_parts.js';
 import type {ReceivedBody} from './request_body.js';
 import {
@@ -33,6 +35,7 @@
 /** Serves callers: admits, runs and logs each of their requests. */
 export class CallerServer {
   private openCount = 0;
+  private readonly openResponses = new OpenResponses(() => this.notifyIfIdle());
   private readonly idleListeners: Array<() => void> = [];
   /** Response to the latest request of each connection. */
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
@@ -44,14 +47,19 @@
 
   constructor(private readonly gateway: GatewayContext) {}
 
-  /** Number of requests that have no complete response yet. */
-  get openRequestCount(): number {
-    return this.openCount;
+  /** Number of responses that have not been sent to their end. */
+  get openResponseCount(): number {
+    return this.openResponses.count;
   }
 
-  /** Resolves once no request is open. */
+  /** Counts these by how far they have come. */
+  countOpenResponses(): OpenResponseCounts {
+    return this.openResponses.countByState();
+  }
+
+  /** Resolves once no request is open and all responses have been sent. */
   whenIdle(): Promise<void> {
-    if (this.openCount === 0) return Promise.resolve();
+    if (this.isIdle) return Promise.resolve();
     return new Promise(resolve => this.idleListeners.push(resolve));
   }
 
@@ -65,6 +73,7 @@
     const timer = new RequestTimer(this.gateway.clock, res);
     this.gateway.stopGate.add(timer);
     this.openCount++;
+    this.openResponses.add(res);
     this.closeAfterLastResponse(req, res);
     let head: RequestHead | null = null;
     let run: RequestRun | null = null;
@@ -314,7 +323,15 @@
 
   private finishRequest(): void {
     this.openCount--;
-    if (this.openCount > 0) return;
+    this.notifyIfIdle();
+  }
+
+  private get isIdle(): boolean {
+    return this.openCount === 0 && this.openResponses.count === 0;
+  }
+
+  private notifyIfIdle(): void {
+    if (!this.isIdle) return;
     for (const notifyIdle of this.idleListeners.splice(0)) notifyIdle();
   }
 }
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -24,7 +24,7 @@
   {callerServer, callerHttpServer}: StoppedServers,
 ): Promise<void> {
   const endsAtMs = clock.monotonicMs() + settings.stopGraceMs - STOP_MARGIN_MS;
-  log.info('gateway_stopping', {open: callerServer.openRequestCount});
+  log.info('gateway_stopping', {open: callerServer.openResponseCount});
   stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS);
   callerServer.isDraining = true;
   members.leave();
@@ -35,5 +35,8 @@
   const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
   const idle = [callerServer.whenIdle(), upstreamPaths.tunnels.whenIdle()];
   await Promise.race([Promise.all(idle), sleep(limitMs)]);
-  log.info('gateway_stopped', {cut: callerServer.openRequestCount});
+  log.info('gateway_stopped', {
+    cut: callerServer.openResponseCount,
+    ...callerServer.countOpenResponses(),
+  });
 }
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -19,26 +19,37 @@
   private readonly idle = new Map<Socket, IdleConnection>();
   /** Number of open requests of each connection that has any. */
   private readonly openRequests = new Map<Socket, number>();
+  /** Bytes read of each connection up to the end of its latest request. */
+  private readonly readBytes = new Map<Socket, number>();
 
   constructor(
     private readonly server: http.Server,
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {
-    server.on('connection', (socket: Socket) =>
-      socket.once('close', () => this.forget(socket)),
-    );
+    server.on('connection', (socket: Socket) => {
+      this.readBytes.set(socket, 0);
+      socket.once('close', () => this.forget(socket));
+    });
     server.on('timeout', (socket: Socket) => this.closeUnlessRead(socket));
+    // Node.js calls it at the server's close, and would close connections whose
+    // last response has been written, but not yet sent.
+    server.closeIdleConnections = () => this.closeIdle();
   }
 
   /** Follows a request to the end of its response. */
-  handleRequest({socket}: IncomingMessage, res: ServerResponse): void {
+  handleRequest(req: IncomingMessage, res: ServerResponse): void {
+    const {socket} = req;
     const announcedMs = this.server.keepAliveTimeout;
     this.idle.delete(socket);
     // Node.js resets only timers that it set, which it does not for a limit of 0.
     socket.setTimeout(0);
     const count = this.openRequests.get(socket) ?? 0;
     this.openRequests.set(socket, count + 1);
+    this.readBytes.set(socket, socket.bytesRead);
+    req.once('end', () => {
+      if (!socket.destroyed) this.readBytes.set(socket, socket.bytesRead);
+    });
     res.once('finish', () => this.handleResponse(socket, announcedMs));
   }
 
@@ -50,6 +61,14 @@
     }
   }
 
+  /** Closes the connections that have no open request and none that has begun. */
+  private closeIdle(): void {
+    for (const [socket, readBytes] of this.readBytes) {
+      const isIdle = !this.openRequests.has(socket);
+      if (isIdle && socket.bytesRead === readBytes) socket.destroy();
+    }
+  }
+
   private handleResponse(socket: Socket, announcedMs: number): void {
     const count = (this.openRequests.get(socket) ?? 0) - 1;
     if (count > 0) {
@@ -90,5 +109,6 @@
   private forget(socket: Socket): void {
     this.idle.delete(socket);
     this.openRequests.delete(socket);
+    this.readBytes.delete(socket);
   }
 }
