Log and count connections that are closed with open requests

No log line or metric told whether a gateway had closed a connection of a caller while requests of it were open, how many of them were with an upstream, and why: request_ended has callerLeft in both cases.

connection_closed_early tells this once for each connection that neither its caller nor the network ended: the reason, the requests that were open, those of them that were passed on and those whose complete responses were not written. requests_closed_early_total counts the same by reason. A response that is cut off closes its connection with an error of its own, by which it is known.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -10,6 +10,7 @@
   MAX_REQUEST_ID_LENGTH,
   NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
+import {ResponseCutError} from './early_close.js';
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
@@ -36,6 +37,7 @@
   private readonly idleListeners: Array<() => void> = [];
   /** Response to the latest request of each connection. */
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
+  private readonly runs = new WeakMap<ServerResponse, RequestRun>();
   /** Whether responses close their connection, so that callers reconnect. */
   isDraining = false;
   private readonly chunkPacer = new ChunkPacer();
@@ -49,6 +51,11 @@
     return this.openCount;
   }
 
+  /** Whether a request has been sent to an upstream. */
+  isPassedOn(res: ServerResponse): boolean {
+    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
+  }
+
   /** Resolves once no request is open. */
   whenIdle(): Promise<void> {
     if (this.openCount === 0) return Promise.resolve();
@@ -107,6 +114,7 @@
         timer,
       };
       run = new RequestRun(this.gateway, openRequest);
+      this.runs.set(res, run);
       await run.run();
     } catch (e) {
       refusal = this.refuse(req, res, head, e, timer.hasCallerLeft);
@@ -238,7 +246,7 @@
     if (res.headersSent) {
       // Only a cut connection keeps every caller from taking the part that was
       // sent for a complete response.
-      res.destroy();
+      res.destroy(new ResponseCutError());
       const {reason} = refusal;
       this.gateway.log.warn('response_cut', {id: head?.requestId, reason});
       return refusal;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,6 +218,7 @@
         this.idleConnections.handleRequest(req, res);
         void this.callerServer.serve(req, res);
       },
+      res => this.callerServer.isPassedOn(res),
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -1,5 +1,6 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {ROUTE_KIND} from './constants.js';
+import type {EarlyClose} from './early_close.js';
 import type {Route} from './types.js';
 
 const PREFIX = 'fescuespool_';
@@ -81,6 +82,8 @@
   readonly recordResponseDropped: () => void;
   /** Records that a limit for callers refused a request or a connection. */
   readonly recordUnruly: (reason: UnrulyReason) => void;
+  /** Records that a connection was closed before its responses were written. */
+  readonly recordEarlyClose: (close: EarlyClose) => void;
   /** Sets the gauge of a name and label. */
   readonly setGauge: (name: string, label: string, value: number) => void;
   /** Returns all metrics in the Prometheus text format. */
@@ -142,6 +145,12 @@
     labelNames: ['reason'],
     registers,
   });
+  const earlyCloses = new Counter({
+    name: `${PREFIX}requests_closed_early_total`,
+    help: 'Requests whose connection was closed before their responses',
+    labelNames: ['reason', 'passed_on'],
+    registers,
+  });
   const stateGauges = new Gauge({
     name: `${PREFIX}state`,
     help: 'Present figures by name and label',
@@ -214,6 +223,10 @@
       promptTokens.inc({outcome}, tokens),
     recordResponseDropped: () => responsesDropped.inc(),
     recordUnruly: reason => unruly.inc({reason}),
+    recordEarlyClose: ({reason, open, passedOn}) => {
+      earlyCloses.inc({reason, passed_on: 'true'}, passedOn);
+      earlyCloses.inc({reason, passed_on: 'false'}, open - passedOn);
+    },
     setGauge: (name, label, value) => stateGauges.set({name, label}, value),
     renderText: () => registry.metrics(),
   };
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -1,6 +1,9 @@
 import type {Logger} from '@fescuespool/common';
 import http from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {limitConnections} from './connection_limit.js';
+import type {EarlyClose} from './early_close.js';
+import {describeEarlyClose} from './early_close.js';
 import type {GatewayMetrics, UnrulyReason} from './gateway_metrics.js';
 import type {ServeRequest} from './pipeline_gate.js';
 import {PipelineGate} from './pipeline_gate.js';
@@ -30,15 +33,24 @@
   });
 }
 
-/** Creates an HTTP server that bounds connections and requests sent ahead. */
+/**
+ * Creates an HTTP server that bounds connections and requests sent ahead.
+ * `isPassedOn` tells of an open request whether an upstream may be at work on it.
+ */
 export function createGuardedServer(
   options: http.ServerOptions,
   guard: ServerGuard,
   serve: ServeRequest,
+  isPassedOn: (res: ServerResponse) => boolean = () => false,
 ): http.Server {
-  const gate = new PipelineGate(serve, dropped =>
-    recordCut(guard, 'requests_sent_ahead', dropped),
-  );
+  const gate = new PipelineGate(serve, {
+    onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
+    onClosed: (socket, open) => {
+      const {listening} = server;
+      const close = describeEarlyClose(socket, open, isPassedOn, listening);
+      if (close) recordEarlyClose(guard, close);
+    },
+  });
   const server = http.createServer(options, (req, res) =>
     gate.handle(req, res),
   );
@@ -65,3 +77,11 @@
   metrics.recordUnruly(reason);
   log.warn('connection_cut', {server, reason, dropped});
 }
+
+function recordEarlyClose(
+  {server, log, metrics}: ServerGuard,
+  close: EarlyClose,
+): void {
+  metrics.recordEarlyClose(close);
+  log.warn('connection_closed_early', {server, ...close});
+}
--- a/packages/gateway/src/pipeline_gate.test.ts
+++ b/packages/gateway/src/pipeline_gate.test.ts
@@ -31,7 +31,7 @@
         open.push(res);
         res.once('close', () => (lost += res.writableFinished ? 0 : 1));
       },
-      count => (dropped = count),
+      {onCut: count => (dropped = count), onClosed: () => undefined},
     );
     server = http.createServer((req, res) => gate.handle(req, res));
     server.listen(0, '127.0.0.1');
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -27,6 +27,14 @@
   isCut: boolean;
 }
 
+/** What a gate tells of the connections that it serves. */
+export interface PipelineEvents {
+  /** Called with the number of requests that are left unserved. */
+  readonly onCut: (dropped: number) => void;
+  /** Called when a connection is closed with the responses that are not written. */
+  readonly onClosed: (socket: Socket, open: readonly ServerResponse[]) => void;
+}
+
 /** Handles one request. */
 export type ServeRequest = (req: IncomingMessage, res: ServerResponse) => void;
 
@@ -42,8 +50,7 @@
 
   constructor(
     private readonly serve: ServeRequest,
-    /** Called with the number of requests that are left unserved. */
-    private readonly onCut: (dropped: number) => void,
+    private readonly events: PipelineEvents,
   ) {}
 
   /** Number of requests that wait behind others of their connection. */
@@ -109,7 +116,7 @@
 
   private cut(pipeline: Pipeline): void {
     pipeline.isCut = true;
-    this.onCut(pipeline.waiting.length);
+    this.events.onCut(pipeline.waiting.length);
     this.forgetWaiting(pipeline);
   }
 
@@ -117,6 +124,7 @@
     this.pipelines.delete(socket);
     this.forgetWaiting(pipeline);
     pipeline.isCut = true;
+    this.events.onClosed(socket, [...pipeline.served]);
     for (const res of pipeline.served) {
       // Node.js tells only the first response of a connection that it is lost.
       if (!res.socket) res.emit('close');
