Serve nothing behind a response that closes its connection

Cause: PipelineGate went on serving requests of a connection whose last response had been decided. A refusal whose body is still to come (401, 404, 413, 503 of a stale configuration) says "Connection: close" and has the rest of the body discarded, so that the requests behind it are read. So does a stream that begins while the gateway stops, for as long as it lasts, and any such response between its end and that of the socket. Node.js never sends the responses behind one that closes.

Of pipeline_gate.test.ts, "serves nothing that is read while the connection is being closed" got 2 in place of 1. Ruled out: requests that were begun before the response was decided; a body that is not complete has none behind it, and CallerServer takes the close back while it is not sent.

Change: the gate looks at the open responses of a connection. Once the head of one says that it closes it, or the socket is ending, later requests are neither served nor passed on, and their socket is not read further. The refusal sets shouldKeepAlive in place of a header that nobody could see. requests_unserved tells how many were read behind such a response.

Why it works: a head that is sent can't be taken back, and the gate is the only way to an upstream. What is not passed on may be sent again.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -279,7 +279,7 @@
       return;
     }
     this.gateway.metrics.recordUnruly('body_unwanted');
-    headers.push('Connection', 'close');
+    res.shouldKeepAlive = false;
     res.writeHead(status, headers);
     res.write(body);
     discardRest(req, this.chunkPacer, () => res.end());
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -45,10 +45,12 @@
 ): http.Server {
   const gate = new PipelineGate(serve, {
     onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
-    onClosed: (socket, open) => {
+    onClosed: (socket, open, unserved) => {
       const {listening} = server;
       const close = describeEarlyClose(socket, open, isPassedOn, listening);
       if (close) recordEarlyClose(guard, close);
+      if (unserved === 0) return;
+      guard.log.info('requests_unserved', {server: guard.server, unserved});
     },
   });
   const server = http.createServer(options, (req, res) =>
--- a/packages/gateway/src/pipeline_gate.test.ts
+++ b/packages/gateway/src/pipeline_gate.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import http from 'node:http';
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import net from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -20,18 +20,23 @@
   let started: number;
   let lost: number;
   let dropped: number;
+  let unserved: number;
+  let gate: PipelineGate;
 
   beforeEach(async () => {
     open = [];
     received = '';
-    started = lost = dropped = 0;
-    const gate = new PipelineGate(
+    started = lost = dropped = unserved = 0;
+    gate = new PipelineGate(
       (_req, res) => {
         started++;
         open.push(res);
         res.once('close', () => (lost += res.writableFinished ? 0 : 1));
       },
-      {onCut: count => (dropped = count), onClosed: () => undefined},
+      {
+        onCut: count => (dropped = count),
+        onClosed: (_socket, _open, count) => (unserved = count),
+      },
     );
     server = http.createServer((req, res) => gate.handle(req, res));
     server.listen(0, '127.0.0.1');
@@ -77,6 +82,33 @@
     expect(started).toBe(MAX_SERVED_PER_CONNECTION);
   });
 
+  it('serves nothing behind a response that closes the connection', async () => {
+    client.write(REQUEST.repeat(2));
+    await until(() => started === 2);
+    const [first, last] = open;
+    last!.shouldKeepAlive = false;
+    last!.flushHeaders();
+    client.write(REQUEST);
+    const {socket} = first!;
+    await until(() => socket?.bytesRead === 3 * REQUEST.length);
+    first!.end();
+    last!.end();
+    await once(client, 'close');
+    expect([started, answered(), unserved]).toEqual([2, 2, 1]);
+  });
+
+  it('serves nothing that is read while the connection is being closed', async () => {
+    client.write(REQUEST);
+    await until(() => started === 1);
+    const [last] = open;
+    const {socket} = last!;
+    last!.shouldKeepAlive = false;
+    last!.once('finish', () => gate.handle({socket} as IncomingMessage, last!));
+    last!.end();
+    await once(client, 'close');
+    expect([started, answered(), unserved]).toEqual([1, 1, 1]);
+  });
+
   it('tells all responses that their connection is lost', async () => {
     client.write(REQUEST.repeat(3));
     await until(() => started === 3);
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -25,14 +25,23 @@
   waiting: Exchange[];
   /** Whether no more of its requests are served. */
   isCut: boolean;
+  /** Requests that were read after that, or waited then. */
+  unserved: number;
 }
 
 /** What a gate tells of the connections that it serves. */
 export interface PipelineEvents {
   /** Called with the number of requests that are left unserved. */
   readonly onCut: (dropped: number) => void;
-  /** Called when a connection is closed with the responses that are not written. */
-  readonly onClosed: (socket: Socket, open: readonly ServerResponse[]) => void;
+  /**
+   * Called when a connection is closed with the responses that are not written,
+   * and the number of requests behind the response that ended it.
+   */
+  readonly onClosed: (
+    socket: Socket,
+    open: readonly ServerResponse[],
+    unserved: number,
+  ) => void;
 }
 
 /** Handles one request. */
@@ -62,7 +71,12 @@
   handle(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
     const pipeline = this.pipelines.get(socket) ?? this.open(socket);
-    if (pipeline.isCut) return;
+    if (!pipeline.isCut && isEnding(socket, pipeline)) this.end(pipeline);
+    if (pipeline.isCut) {
+      pipeline.unserved++;
+      process.nextTick(() => socket.pause());
+      return;
+    }
     if (!isFull(pipeline)) {
       this.start(pipeline, req, res);
       return;
@@ -78,7 +92,12 @@
   }
 
   private open(socket: Socket): Pipeline {
-    const pipeline: Pipeline = {served: new Set(), waiting: [], isCut: false};
+    const pipeline: Pipeline = {
+      served: new Set(),
+      waiting: [],
+      isCut: false,
+      unserved: 0,
+    };
     this.pipelines.set(socket, pipeline);
     socket.once('close', () => this.handleLoss(socket, pipeline));
     return pipeline;
@@ -100,6 +119,7 @@
     res: ServerResponse,
   ): void {
     pipeline.served.delete(res);
+    if (isEnding(socket, pipeline)) this.end(pipeline);
     if (pipeline.isCut) {
       if (pipeline.served.size === 0) socket.destroySoon();
       return;
@@ -115,16 +135,21 @@
   }
 
   private cut(pipeline: Pipeline): void {
-    pipeline.isCut = true;
     this.events.onCut(pipeline.waiting.length);
     this.forgetWaiting(pipeline);
+    this.end(pipeline);
+  }
+
+  private end(pipeline: Pipeline): void {
+    pipeline.isCut = true;
+    pipeline.unserved += pipeline.waiting.length;
+    this.forgetWaiting(pipeline);
   }
 
   private handleLoss(socket: Socket, pipeline: Pipeline): void {
     this.pipelines.delete(socket);
-    this.forgetWaiting(pipeline);
-    pipeline.isCut = true;
-    this.events.onClosed(socket, [...pipeline.served]);
+    this.events.onClosed(socket, [...pipeline.served], pipeline.unserved);
+    this.end(pipeline);
     for (const res of pipeline.served) {
       // Node.js tells only the first response of a connection that it is lost.
       if (!res.socket) res.emit('close');
@@ -138,6 +163,15 @@
   }
 }
 
+/** Whether no response can follow those that are open. */
+function isEnding(socket: Socket, {served}: Pipeline): boolean {
+  if (socket.writableEnded || socket.destroyed) return true;
+  for (const res of served) {
+    if (res.headersSent && !res.shouldKeepAlive) return true;
+  }
+  return false;
+}
+
 function isFull({served, isCut}: Pipeline): boolean {
   return isCut || served.size >= MAX_SERVED_PER_CONNECTION;
 }
