Tell what a service's retry budget holds, and each retry that it decides

No log told what the budget of a queue's owner held when the queue opened, nor who granted a repeat, so that owners that follow one another, owners at the same time and requests that are counted twice look the same.

queue_opened now tells the retries left, whether the gateway takes itself for the owner and which part of the members it reaches. The owner logs retry_granted and retry_refused with the request, its entry and the retries left (bounded like all lines of one event), and has the gauges retries_left, retry_requests_counted, retries_granted and retries_refused of each service.

Nothing is decided differently.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -202,7 +202,13 @@
     this.queues.set(service, queue);
     this.memoryOf(service).brittleGuard.recordOpened(this.clock.monotonicMs());
     if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
-    this.log.info('queue_opened', {service});
+    const {retriesLeft} = this.memoryOf(service).retryBudget.counts;
+    this.log.info('queue_opened', {
+      service,
+      retriesLeft: roundRetries(retriesLeft),
+      isOwner: this.isOwner(service),
+      reachedPart: this.members.reachedPart(),
+    });
     return queue;
   }
 
@@ -211,12 +217,25 @@
       nowMs: this.clock.monotonicMs,
       rateLimiter: this.rateLimiter,
       ...this.memoryOf(service),
+      onRetryDecision: (request, isGranted) =>
+        this.logRetry(service, request, isGranted),
       versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     return queue;
   }
 
+  private logRetry(
+    service: string,
+    {requestId: id, entryId: entry}: GrantRequest,
+    isGranted: boolean,
+  ): void {
+    const {retriesLeft} = this.memoryOf(service).retryBudget.counts;
+    const event = isGranted ? 'retry_granted' : 'retry_refused';
+    const left = roundRetries(retriesLeft);
+    this.log.info(event, {id, service, entry, retriesLeft: left});
+  }
+
   private memoryOf(service: string): ServiceMemory {
     const existing = this.memories.get(service);
     if (existing) return existing;
@@ -249,3 +268,8 @@
     this.queues.clear();
   }
 }
+
+/** Retries with one decimal, for the log. */
+function roundRetries(count: number): number {
+  return Math.round(10 * count) / 10;
+}
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -26,6 +26,10 @@
     gauge('queue_told_to_return', service, stats.told);
     gauge('queue_returned', service, stats.returned);
     gauge('queue_refused_again', service, stats.refusedAgain);
+    gauge('retries_left', service, stats.retriesLeft);
+    gauge('retries_granted', service, stats.retriesGranted);
+    gauge('retries_refused', service, stats.retriesRefused);
+    gauge('retry_requests_counted', service, stats.requestsCounted);
     gauge('prompt_parts_held', service, stats.heldParts);
     gauge('prompt_tokens_disproved', service, stats.disprovedTokens);
   }
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -41,6 +41,11 @@
   readonly rateLimiter: UpstreamRateLimiter;
   /** What is known of the service's brittle upstreams. */
   readonly brittleGuard: BrittleGuard;
+  /** Called when the retry budget grants or refuses a retry. */
+  readonly onRetryDecision?: (
+    request: GrantRequest,
+    isGranted: boolean,
+  ) => void;
   /** Decides which software versions may get a request; all without it. */
   readonly versionGate?: () => VersionGate;
 }
@@ -107,8 +112,7 @@
   submit(request: GrantRequest, answer: (answer: QueueAnswer) => void): void {
     const now = this.options.nowMs();
     this.recordContact(request.entryId, now);
-    if (!request.isRetry) this.options.retryBudget.recordRequest();
-    else if (!this.options.retryBudget.tryTake(now)) {
+    if (!this.isInBudget(request, now)) {
       answer({
         kind: 'refused',
         reason: QUEUE_REFUSAL.BUDGET_SPENT,
@@ -292,6 +296,18 @@
     this.options.brittleGuard.recordContact(entryId, now);
   }
 
+  /** Counts a request in the retry budget; returns whether it may be queued. */
+  private isInBudget(request: GrantRequest, now: number): boolean {
+    const {retryBudget, onRetryDecision} = this.options;
+    if (!request.isRetry) {
+      retryBudget.recordRequest();
+      return true;
+    }
+    const isGranted = retryBudget.tryTake(now);
+    onRetryDecision?.(request, isGranted);
+    return isGranted;
+  }
+
   /** Expected milliseconds to the first byte on the fastest idle upstream. */
   private idleStartMs(promptTokens: number): number {
     return this.latency.minStartMs(this.upstreams.values(), promptTokens);
--- a/packages/scheduling/src/queue_stats.ts
+++ b/packages/scheduling/src/queue_stats.ts
@@ -1,8 +1,9 @@
 import type {DispatchQueue} from './dispatch_queue.js';
 import type {ReturnCounts} from './refusals/return_ledger.js';
+import type {RetryCounts} from './retry_budget.js';
 
 /** Present figures of a queue, for metrics. */
-export interface QueueStats extends ReturnCounts {
+export interface QueueStats extends ReturnCounts, RetryCounts {
   readonly waiting: number;
   /** Granted requests that have not ended. */
   readonly running: number;
@@ -18,6 +19,7 @@
   upstreams,
   prefixes,
   returnCounts,
+  retryBudget,
 }: DispatchQueue): QueueStats {
   let running = 0;
   let heldParts = 0;
@@ -28,6 +30,7 @@
   const {disprovedTokens} = prefixes;
   return {
     ...returnCounts,
+    ...retryBudget.counts,
     waiting: waitingCount,
     running,
     heldParts,
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -14,6 +14,16 @@
   readonly windowMs: number;
 }
 
+/** What a retry budget holds, and what it decided since it exists. */
+export interface RetryCounts {
+  /** Retries that may be granted at once. */
+  readonly retriesLeft: number;
+  /** Requests that added their share to the budget. */
+  readonly requestsCounted: number;
+  readonly retriesGranted: number;
+  readonly retriesRefused: number;
+}
+
 /**
  * Retry budget of a service: a token bucket that holds the fixed part and is
  * refilled by requests. This keeps the limit over every window, since no window
@@ -22,6 +32,11 @@
 export class RetryBudget {
   private tokens: number;
   private filledAtMs: number | null = null;
+  private readonly count = {
+    requestsCounted: 0,
+    retriesGranted: 0,
+    retriesRefused: 0,
+  };
 
   constructor(
     private bounds: RetryBudgetBounds,
@@ -31,6 +46,11 @@
     this.tokens = this.capacity;
   }
 
+  /** Retries that may be granted at once, and what was decided so far. */
+  get counts(): RetryCounts {
+    return {...this.count, retriesLeft: this.tokens};
+  }
+
   /** Replaces the bounds; tokens above the new capacity are discarded. */
   setBounds(bounds: RetryBudgetBounds): void {
     this.bounds = bounds;
@@ -39,6 +59,7 @@
 
   /** Adds the share of a retry that a first send permits. */
   recordRequest(): void {
+    this.count.requestsCounted++;
     const share = this.bounds.ratio * RETRY_RATIO_SHARE;
     this.tokens = Math.min(this.capacity, this.tokens + share);
   }
@@ -46,13 +67,18 @@
   /** Takes one retry; returns false if the budget is spent. */
   tryTake(nowMs: number): boolean {
     this.refill(nowMs);
-    if (this.tokens < 1) return false;
+    if (this.tokens < 1) {
+      this.count.retriesRefused++;
+      return false;
+    }
+    this.count.retriesGranted++;
     this.tokens -= 1;
     return true;
   }
 
   /** Returns a retry that was taken for a request that got no upstream. */
   giveBack(): void {
+    this.count.retriesGranted--;
     this.tokens = Math.min(this.capacity, this.tokens + 1);
   }
 
