Owners of a queue that follow one another share one retry budget

Cause: the budget of a service lives in the memory of its queue's owner and began full, with two fifths of the fixed part. So each owner that took over, started again, or was asked by an entry that suspected the real one had this whole. A member that was asked once by mistake kept its queue open and gathered a full bucket for later. One owner may spend .6 of the fixed part in a window; two that follow one another spent 1.0, three 1.4.

Ruled out: a budget that always opens empty. Owners that tell entries what is left, for the next one to go on with: two that act at the same time would both have it.

Change: a budget opens with at most one retry, also when its queue is opened again. Each entry lends its equal part of .15 of the fixed part to the first new owner that it asks in a window (lendsRetries in the grant request; false by default, as from earlier builds). A member that is not the owner by its own list holds no more than one loan, and gets nothing with time.

Why it works: in any window the owners in series have together at most the first one's bucket, the refill of one (.6 together), .18 of the requests, the .15 that entries lend once, and one retry for each opening. The rest (.25) is left for entries that start anew and lend theirs again.

Not covered: owners that act at the same time for longer than a window, by lists or suspicions that differ for good.

--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -22,6 +22,7 @@
 import type {RunReport} from './messages.js';
 import {GRANT_ANSWER_SCHEMA} from './messages.js';
 import type {PeerMonitor} from './peer_monitor.js';
+import type {RetryLoans} from './retry_loans.js';
 import type {GatewayMember} from './types.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
@@ -63,6 +64,7 @@
     private readonly dispatcher: Dispatcher,
     private readonly limits: UpstreamLimits,
     private readonly upstreams: UpstreamRegistry,
+    private readonly retryLoans: RetryLoans,
   ) {
     this.timer = setInterval(() => this.reportRuns(), RUN_REPORT_INTERVAL_MS);
     members.onChange(() => this.reportRuns());
@@ -154,21 +156,25 @@
     const {requestId} = request;
     const owner = this.members.ownerOf(service);
     let isAbandoned = false;
-    const pendingAnswer = this.callOwner(owner, service, request).then(
-      answer => {
-        if (answer.kind !== 'placed') return answer;
-        const {instanceId} = answer.placement.upstream;
-        this.grantedRuns.set(requestId, {
-          service,
-          instanceId,
-          grantedBy: owner,
-        });
-        // A grant that arrives after the wait was abandoned is returned, which
-        // frees its slot.
-        if (isAbandoned) this.returnGrant(owner, service, requestId);
-        return answer;
-      },
+    const lendsRetries = this.retryLoans.lendTo(
+      service,
+      owner.id,
+      this.clock.monotonicMs(),
     );
+    const asked = {...request, lendsRetries};
+    const pendingAnswer = this.callOwner(owner, service, asked).then(answer => {
+      if (answer.kind !== 'placed') return answer;
+      const {instanceId} = answer.placement.upstream;
+      this.grantedRuns.set(requestId, {
+        service,
+        instanceId,
+        grantedBy: owner,
+      });
+      // A grant that arrives after the wait was abandoned is returned, which
+      // frees its slot.
+      if (isAbandoned) this.returnGrant(owner, service, requestId);
+      return answer;
+    });
     const wait = (suspected: Promise<void>): Promise<QueueAnswer> =>
       waitUntilAbandoned(pendingAnswer, suspected, signal);
     const answer = this.members.isSelf(owner)
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -171,6 +171,10 @@
    * are answered with `moved`.
    */
   handOverQueues(): void {
+    const now = this.clock.monotonicMs();
+    for (const {retryBudget} of this.memories.values()) {
+      retryBudget.recordOwnership(now);
+    }
     for (const [service, queue] of this.queues) {
       if (this.isOwner(service)) continue;
       this.queues.delete(service);
@@ -200,12 +204,13 @@
     if (existing) return existing;
     const queue = this.createQueue(service);
     this.queues.set(service, queue);
-    this.memoryOf(service).brittleGuard.recordOpened(this.clock.monotonicMs());
+    const {brittleGuard, retryBudget} = this.memoryOf(service);
+    brittleGuard.recordOpened(this.clock.monotonicMs());
+    retryBudget.open(this.clock.monotonicMs());
     if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
-    const {retriesLeft} = this.memoryOf(service).retryBudget.counts;
     this.log.info('queue_opened', {
       service,
-      retriesLeft: roundRetries(retriesLeft),
+      retriesLeft: roundRetries(retryBudget.counts.retriesLeft),
       isOwner: this.isOwner(service),
       reachedPart: this.members.reachedPart(),
     });
@@ -242,7 +247,11 @@
     const {members, rateLimiter} = this;
     const memory: ServiceMemory = {
       brittleGuard: new BrittleGuard(rateLimiter, members),
-      retryBudget: new RetryBudget(this.retryBudgetBounds, members.reachedPart),
+      retryBudget: new RetryBudget(this.retryBudgetBounds, {
+        reachedPart: members.reachedPart,
+        memberCount: members.memberCount,
+        isOwner: () => this.isOwner(service),
+      }),
     };
     this.memories.set(service, memory);
     return memory;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
 import {StreamArchive} from './stream_archive.js';
 import type {Rollouts} from './rollouts.js';
 import {createRollouts} from './rollouts.js';
+import {RetryLoans} from './retry_loans.js';
 import {RouteHistory} from './route_history.js';
 import type {OriginRecord, VersionsByService} from './stream_origin.js';
 import {StreamOriginDirectory} from './stream_origin_directory.js';
@@ -119,6 +120,7 @@
       this.dispatcher,
       this.upstreamLimits,
       this.upstreams,
+      new RetryLoans(() => this.context.settings.retryBudget.windowMs),
     );
     members.onChange(() => this.dispatcher.handOverQueues());
     members.onSuspected(id => this.dispatcher.handleMemberSuspected(id));
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -50,6 +50,7 @@
     patienceLeftMs: Math.round(patienceLeftMs),
     timeLeftMs: Math.round(timer.ownRemainingMs),
     isRepeatable: isRepeatable(route),
+    lendsRetries: false,
     route: route.name,
     account: account?.name ?? null,
     accountQuotaPerS: account?.quota?.perSecond ?? null,
--- a/packages/gateway/src/member_directory.ts
+++ b/packages/gateway/src/member_directory.ts
@@ -30,6 +30,7 @@
       isSuspected: id => this.isSuspected(id),
       hasSuspects: () => this.suspectedIds.size > 0,
       reachedPart: () => 1 - this.suspectedIds.size / this.members.size,
+      memberCount: () => this.members.size,
       rankedFor: key => this.rankedIds(key),
     };
   }
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -96,6 +96,7 @@
       {service: 'app', item: ITEM},
       {
         item: {
+          lendsRetries: false,
           requiredVersion: null,
           route: null,
           account: null,
@@ -123,6 +124,14 @@
       GRANT_SCHEMA,
       {service: 'app', item: {...ITEM, ...HINTS, timeLeftMs: 11_900}},
     ],
+    [
+      'grant request of an entry that lends retries',
+      GRANT_SCHEMA,
+      {
+        service: 'app',
+        item: {...ITEM, ...HINTS, timeLeftMs: 11_900, lendsRetries: true},
+      },
+    ],
     [
       'start with all figures of a load',
       STARTED_SCHEMA,
@@ -288,7 +297,13 @@
 /** Messages in the form that this build sends, by the types of its schemas. */
 const GRANT: z.input<typeof GRANT_SCHEMA> = {
   service: 'app',
-  item: {...ITEM, ...HINTS, requiredVersion: 'v1', timeLeftMs: 11_900},
+  item: {
+    ...ITEM,
+    ...HINTS,
+    requiredVersion: 'v1',
+    timeLeftMs: 11_900,
+    lendsRetries: true,
+  },
 };
 const GRANTED: z.input<typeof GRANT_ANSWER_SCHEMA> = {
   kind: 'placed',
--- a/packages/scheduling/src/brittle_guard.ts
+++ b/packages/scheduling/src/brittle_guard.ts
@@ -24,6 +24,8 @@
   readonly hasSuspects: () => boolean;
   /** Part of all members, from 0 to 1, that are not suspected. */
   readonly reachedPart: () => number;
+  /** Number of all members, also those not reached. */
+  readonly memberCount: () => number;
   /** All that don't leave, by their rank for a key; also those not reached. */
   readonly rankedFor: (key: string) => readonly string[];
 }
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -139,6 +139,16 @@
 /** Share of it that all members spend together while some don't reach each other. */
 export const MEMBERS_EXTRA_SHARE = 0.5;
 
+/** Retries that a queue which opens may grant at once, before any entry lends more. */
+export const OPENING_RETRIES = 1;
+
+/**
+ * Share of the retry budget's fixed part that all entries together lend to new
+ * dispatchers in a window. With what one dispatcher spends it leaves room for
+ * entries that start anew and lend theirs again.
+ */
+export const LENT_EXTRA_SHARE = 0.15;
+
 /** Share of the retry budget's ratio in use; allows for differing counts. */
 export const RETRY_RATIO_SHARE = 0.9;
 
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -299,6 +299,7 @@
   /** Counts a request in the retry budget; returns whether it may be queued. */
   private isInBudget(request: GrantRequest, now: number): boolean {
     const {retryBudget, onRetryDecision} = this.options;
+    if (request.lendsRetries) retryBudget.recordLoan();
     if (!request.isRetry) {
       retryBudget.recordRequest();
       return true;
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -1,5 +1,7 @@
 import {
+  LENT_EXTRA_SHARE,
   MEMBERS_EXTRA_SHARE,
+  OPENING_RETRIES,
   RETRY_EXTRA_SHARE,
   RETRY_RATIO_SHARE,
 } from './constants.js';
@@ -14,6 +16,22 @@
   readonly windowMs: number;
 }
 
+/** What the owner of a budget knows of its place among the members. */
+export interface BudgetOwner {
+  /** Part of all members, from 0 to 1, that it reaches. */
+  readonly reachedPart: () => number;
+  /** Number of all members, which lend equal parts to new owners. */
+  readonly memberCount: () => number;
+  /** Whether it is the owner by its own list; others may ask it all the same. */
+  readonly isOwner: () => boolean;
+}
+
+const SOLE_OWNER: BudgetOwner = {
+  reachedPart: () => 1,
+  memberCount: () => 1,
+  isOwner: () => true,
+};
+
 /** What a retry budget holds, and what it decided since it exists. */
 export interface RetryCounts {
   /** Retries that may be granted at once. */
@@ -27,11 +45,15 @@
 /**
  * Retry budget of a service: a token bucket that holds the fixed part and is
  * refilled by requests. This keeps the limit over every window, since no window
- * can spend more than a full bucket and what its own requests add.
+ * can spend more than a full bucket and what its own requests add. It opens almost
+ * empty, as others may have spent theirs just before. What entries lend to it adds
+ * up to a fixed share, as each entry lends to one owner in a window.
  */
 export class RetryBudget {
   private tokens: number;
   private filledAtMs: number | null = null;
+  /** Whether it was the owner's when it was last filled. */
+  private wasOwned = false;
   private readonly count = {
     requestsCounted: 0,
     retriesGranted: 0,
@@ -40,10 +62,9 @@
 
   constructor(
     private bounds: RetryBudgetBounds,
-    /** Part of all members, from 0 to 1, that the budget's owner reaches. */
-    private readonly reachedPart: () => number = () => 1,
+    private readonly owner: BudgetOwner = SOLE_OWNER,
   ) {
-    this.tokens = this.capacity;
+    this.tokens = Math.min(OPENING_RETRIES, this.capacity);
   }
 
   /** Retries that may be granted at once, and what was decided so far. */
@@ -57,6 +78,23 @@
     this.tokens = Math.min(this.tokens, this.capacity);
   }
 
+  /** Opens the budget anew, with few of the tokens that are left. */
+  open(nowMs: number): void {
+    this.filledAtMs = nowMs;
+    this.wasOwned = this.owner.isOwner();
+    this.tokens = Math.min(this.tokens, OPENING_RETRIES);
+  }
+
+  /** Opens the budget anew if another member has owned it meanwhile. */
+  recordOwnership(nowMs: number): void {
+    if (this.owner.isOwner() !== this.wasOwned) this.open(nowMs);
+  }
+
+  /** Adds what an entry lends that had another owner before, or none. */
+  recordLoan(): void {
+    this.tokens = Math.min(this.capacity, this.tokens + this.loan);
+  }
+
   /** Adds the share of a retry that a first send permits. */
   recordRequest(): void {
     this.count.requestsCounted++;
@@ -86,16 +124,26 @@
   private refill(nowMs: number): void {
     const passedMs = nowMs - (this.filledAtMs ?? nowMs);
     this.filledAtMs = nowMs;
-    const perMs = this.capacity / (2 * this.bounds.windowMs);
+    // An owner that is asked by mistake has only what its entries bring.
+    if (!this.owner.isOwner()) return;
+    const perMs = this.fixedPart / (2 * this.bounds.windowMs);
     this.tokens = Math.min(this.capacity, this.tokens + passedMs * perMs);
   }
 
-  private get capacity(): number {
-    const part = this.reachedPart();
+  private get loan(): number {
+    return (this.bounds.extra * LENT_EXTRA_SHARE) / this.owner.memberCount();
+  }
+
+  private get fixedPart(): number {
+    const part = this.owner.reachedPart();
     const share =
       part < 1
         ? Math.min(RETRY_EXTRA_SHARE, part * MEMBERS_EXTRA_SHARE)
         : RETRY_EXTRA_SHARE;
-    return Math.max(1, this.bounds.extra * share);
+    return this.bounds.extra * share;
+  }
+
+  private get capacity(): number {
+    return Math.max(1, this.owner.isOwner() ? this.fixedPart : this.loan);
   }
 }
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -25,6 +25,7 @@
   isSuspected: () => false,
   hasSuspects: () => false,
   reachedPart: () => 1,
+  memberCount: () => 1,
   rankedFor: () => [ENTRY],
 };
 
@@ -63,6 +64,7 @@
     timeLeftMs: null,
     isRepeatable: true,
     isRetry: false,
+    lendsRetries: false,
     excluded: [],
     avoidedZones: [],
     requiredVersion: null,
