A request that is asked for again adds to the retry budget once

Cause: the owner of a queue added .18 of a retry for each request for an upstream that is no retry. A gateway asks again for the same request when its queue has moved, after a grant that it hands back (its upstream is paused, leaving or of a version that may not be used), after a send that could not connect, and when no upstream has the version that was wanted first. So what fails added more to the budget than what clients sent.

Ruled out: retries that are given back twice or after they have arrived. A retry is given back only as it leaves the list of those that wait, unplaced.

Change: the grant request says whether its entry has asked before (isAskedAgain; false by default, as from earlier builds, which are counted as before). After a move the new owner does not count it either: the one before may have, and what that one granted stays spent.

--- a/packages/gateway/src/dispatch_client.ts
+++ b/packages/gateway/src/dispatch_client.ts
@@ -82,9 +82,12 @@
     const start = this.clock.monotonicMs();
     for (let attempts = 0; !signal.aborted; attempts++) {
       const waitedMs = this.clock.monotonicMs() - start;
+      const asked = withElapsedWait(request, waitedMs);
+      // The owner that was asked before may have counted it.
+      const isAskedAgain = request.isAskedAgain || attempts > 0;
       const answer = await this.requestFromOwner(
         service,
-        withElapsedWait(request, waitedMs),
+        {...asked, isAskedAgain},
         signal,
       );
       if (answer.kind !== 'moved') return answer;
--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -70,6 +70,7 @@
     timeLeftMs: null,
     isRepeatable: true,
     isRetry: true,
+    isAskedAgain: false,
     lendsRetries: false,
     excluded: [],
     avoidedZones: [],
--- a/packages/gateway/src/grant_request.ts
+++ b/packages/gateway/src/grant_request.ts
@@ -9,7 +9,7 @@
 /** What earlier sends of a request leave to its next one. */
 type SendHistory = Pick<
   GrantRequest,
-  'isRetry' | 'excluded' | 'avoidedZones' | 'requiredVersion'
+  'isRetry' | 'isAskedAgain' | 'excluded' | 'avoidedZones' | 'requiredVersion'
 >;
 
 /** What a grant request tells of the request that it is for. */
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -59,6 +59,7 @@
     patienceLeftMs: MILLISECONDS,
     isRepeatable: z.boolean(),
     isRetry: z.boolean(),
+    isAskedAgain: z.boolean().default(false),
     lendsRetries: z.boolean().default(false),
     excluded: z.array(ID).max(MAX_EXCLUDED_UPSTREAMS),
     avoidedZones: z.array(ID).max(64),
--- a/packages/gateway/src/mixed_builds.test.ts
+++ b/packages/gateway/src/mixed_builds.test.ts
@@ -96,6 +96,7 @@
       {service: 'app', item: ITEM},
       {
         item: {
+          isAskedAgain: false,
           lendsRetries: false,
           requiredVersion: null,
           route: null,
@@ -132,6 +133,15 @@
         item: {...ITEM, ...HINTS, timeLeftMs: 11_900, lendsRetries: true},
       },
     ],
+    [
+      'grant request that is asked for again',
+      GRANT_SCHEMA,
+      {
+        service: 'app',
+        item: {...ITEM, ...HINTS, timeLeftMs: 11_900, isAskedAgain: true},
+      },
+      {item: {lendsRetries: false}},
+    ],
     [
       'start with all figures of a load',
       STARTED_SCHEMA,
@@ -302,6 +312,7 @@
     ...HINTS,
     requiredVersion: 'v1',
     timeLeftMs: 11_900,
+    isAskedAgain: true,
     lendsRetries: true,
   },
 };
--- a/packages/gateway/src/request_preview.ts
+++ b/packages/gateway/src/request_preview.ts
@@ -186,6 +186,7 @@
     const {gateway} = this;
     const item = createGrantRequest(gateway, request, progress, {
       isRetry: false,
+      isAskedAgain: false,
       excluded: [],
       avoidedZones: [],
       requiredVersion: versionToBegin(gateway, request, service, progress),
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -46,6 +46,8 @@
   private readonly progress: StreamProgress;
   private service: string;
   private searches = 0;
+  /** Times that an upstream was asked for. */
+  private asks = 0;
   /** Grant of the last send. */
   private grant: Grant | null = null;
   /** Whether a new stream may begin at any version. */
@@ -68,9 +70,8 @@
       hasSurvived: false,
     };
     this.tried = new TriedUpstreams(gateway.members.localMember.zone);
-    const draw = gateway.random();
-    this.service =
-      pickTarget(request.admission.route.targets, draw)?.service ?? '';
+    const {targets} = request.admission.route;
+    this.service = pickTarget(targets, gateway.random())?.service ?? '';
   }
 
   /** Whether it is certain that no upstream has run the request. */
@@ -118,9 +119,8 @@
       this.grant = placed;
       if (await this.returnUnusable(placed)) continue;
       // The cause of crashes may have been found while the request waited.
-      if (
-        this.gateway.crashGuard.hasCause(partIds(this.request.head.promptParts))
-      ) {
+      const {promptParts} = this.request.head;
+      if (this.gateway.crashGuard.hasCause(partIds(promptParts))) {
         this.returnGrant(placed, RUN_END.CANCELLED);
         throw this.refusals.unlessRun(
           new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED),
@@ -201,9 +201,8 @@
     if (!outcome.isDone) this.tried.recordFailure(placement.upstream, outcome);
     const {softwareVersion} = this.progress;
     // The stream may have begun just before it was abandoned.
-    if (this.nextGrant?.confirmedVersion !== softwareVersion) {
+    if (this.nextGrant?.confirmedVersion !== softwareVersion)
       this.returnNextGrant();
-    }
     return outcome;
   }
 
@@ -362,6 +361,7 @@
   private createGrantRequest(): GrantRequest {
     return createGrantRequest(this.gateway, this.request, this.progress, {
       isRetry: this.possibleArrivals > 0,
+      isAskedAgain: this.asks++ > 0,
       excluded: this.tried.excluded,
       avoidedZones: this.tried.avoidedZones,
       requiredVersion: this.progress.softwareVersion ?? this.versionToBegin,
--- a/packages/gateway/src/retry_budget_owners.test.ts
+++ b/packages/gateway/src/retry_budget_owners.test.ts
@@ -179,6 +179,7 @@
       timeLeftMs: null,
       isRepeatable: true,
       isRetry,
+      isAskedAgain: false,
       lendsRetries: false,
       excluded: [],
       avoidedZones: [],
--- a/packages/scheduling/src/dispatch_queue.test.ts
+++ b/packages/scheduling/src/dispatch_queue.test.ts
@@ -177,6 +177,16 @@
       expect(harness.answers.get('c')).toBeUndefined();
     });
 
+    it('gets one share from a request that is asked for many times', () => {
+      const harness = new QueueHarness([upstream('u', 99)], 100);
+      harness.submit(grantRequest('a'));
+      for (let i = 0; i < 10; i++) {
+        harness.end('a', RUN_END.UNREACHABLE);
+        harness.submit(grantRequest('a', {isAskedAgain: true}));
+      }
+      expect(harness.queue.retryBudget.counts.requestsCounted).toBe(1);
+    });
+
     it('is not used up by retries that are refused an upstream', () => {
       const harness = budgetForTwo();
       const changes = {isRetry: true, requiredVersion: 'gone'};
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -301,7 +301,7 @@
     const {retryBudget, onRetryDecision} = this.options;
     if (request.lendsRetries) retryBudget.recordLoan();
     if (!request.isRetry) {
-      retryBudget.recordRequest();
+      if (!request.isAskedAgain) retryBudget.recordRequest();
       return true;
     }
     const isGranted = retryBudget.tryTake(now);
--- a/packages/scheduling/src/test_support/queue_harness.ts
+++ b/packages/scheduling/src/test_support/queue_harness.ts
@@ -64,6 +64,7 @@
     timeLeftMs: null,
     isRepeatable: true,
     isRetry: false,
+    isAskedAgain: false,
     lendsRetries: false,
     excluded: [],
     avoidedZones: [],
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -28,6 +28,8 @@
   readonly isRepeatable: boolean;
   /** Whether an earlier send of this request may have reached an upstream. */
   readonly isRetry: boolean;
+  /** Whether its entry has asked a dispatcher for an upstream for it before. */
+  readonly isAskedAgain: boolean;
   /** Whether the entry lends its part of the retry budget to this dispatcher. */
   readonly lendsRetries: boolean;
   /** Instance ids of upstreams where this request failed before. */
