--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -70,6 +70,8 @@
     timeLeftMs: null,
     isRepeatable: true,
     isRetry: true,
+    isAskedAgain: false,
+    lendsRetries: false,
     excluded: [],
     avoidedZones: [],
     requiredVersion: null,
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -171,6 +171,10 @@
    * are answered with `moved`.
    */
   handOverQueues(): void {
+    const now = this.clock.monotonicMs();
+    for (const {retryBudget} of this.memories.values()) {
+      retryBudget.recordOwnership(now);
+    }
     for (const [service, queue] of this.queues) {
       if (this.isOwner(service)) continue;
       this.queues.delete(service);
@@ -200,9 +204,16 @@
     if (existing) return existing;
     const queue = this.createQueue(service);
     this.queues.set(service, queue);
-    this.memoryOf(service).brittleGuard.recordOpened(this.clock.monotonicMs());
+    const {brittleGuard, retryBudget} = this.memoryOf(service);
+    brittleGuard.recordOpened(this.clock.monotonicMs());
+    retryBudget.open(this.clock.monotonicMs());
     if (this.ticks.start()) this.lastTickMs = this.clock.monotonicMs();
-    this.log.info('queue_opened', {service});
+    this.log.info('queue_opened', {
+      service,
+      retriesLeft: roundRetries(retryBudget.counts.retriesLeft),
+      isOwner: this.isOwner(service),
+      reachedPart: this.members.reachedPart(),
+    });
     return queue;
   }
 
@@ -211,19 +222,36 @@
       nowMs: this.clock.monotonicMs,
       rateLimiter: this.rateLimiter,
       ...this.memoryOf(service),
+      onRetryDecision: (request, isGranted) =>
+        this.logRetry(service, request, isGranted),
       versionGate: () => this.versionGateOf(service),
     });
     queue.setUpstreams(this.upstreams.get(service) ?? []);
     return queue;
   }
 
+  private logRetry(
+    service: string,
+    {requestId: id, entryId: entry}: GrantRequest,
+    isGranted: boolean,
+  ): void {
+    const {retriesLeft} = this.memoryOf(service).retryBudget.counts;
+    const event = isGranted ? 'retry_granted' : 'retry_refused';
+    const left = roundRetries(retriesLeft);
+    this.log.info(event, {id, service, entry, retriesLeft: left});
+  }
+
   private memoryOf(service: string): ServiceMemory {
     const existing = this.memories.get(service);
     if (existing) return existing;
     const {members, rateLimiter} = this;
     const memory: ServiceMemory = {
       brittleGuard: new BrittleGuard(rateLimiter, members),
-      retryBudget: new RetryBudget(this.retryBudgetBounds, members.reachedPart),
+      retryBudget: new RetryBudget(this.retryBudgetBounds, {
+        reachedPart: members.reachedPart,
+        memberCount: members.memberCount,
+        isOwner: () => this.isOwner(service),
+      }),
     };
     this.memories.set(service, memory);
     return memory;
@@ -249,3 +277,8 @@
     this.queues.clear();
   }
 }
+
+/** Retries with one decimal, for the log. */
+function roundRetries(count: number): number {
+  return Math.round(10 * count) / 10;
+}
