Answer earlier requests before a body that does not end closes them off

Cause: limitRest destroyed the socket a second after the refusal, whatever was open before it on the connection.

Evidence: "answer what came before a refused body that does not end" failed: "expected [] to deeply equal [ 200, 404 ]".

Change: when the time is over, the connection is closed after the response to that request, which follows those before it. Requests behind the body can't have been read, and the body is at most 64 KiB, so that what the connection holds stays bounded; earlier requests keep their own time limits.

--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -209,11 +209,18 @@
   req.resume();
 }
 
-/** Closes the connection of a refused body that does not end in time. */
+/**
+ * Closes the connection of a refused body that does not end in time, after the
+ * responses to the requests before it.
+ */
 export function limitRest(req: IncomingMessage, res: ServerResponse): void {
   if (req.complete || !hasBodyHeaders(req)) return;
+  const close = (): void => {
+    if (!req.complete) req.socket.destroySoon();
+  };
   const timer = setTimeout(() => {
-    if (!req.complete) req.socket.destroy();
+    if (res.writableFinished) close();
+    else res.once('finish', close);
   }, MAX_BODY_DISCARD_MS);
   req.once('end', () => clearTimeout(timer));
   res.once('close', () => {
