Keep connections with open requests when there are too many connections

Cause: limitConnections chose the oldest connection with an unfinished body and did not look at earlier requests of it. Besides, it forgot the unfinished body at the end of any response of the connection, so that it held its place.

Evidence: connection_limit.test.ts, 3 of 3 failed, such as "expected [ true, false, false ] to deeply equal [ false, true, false ]".

Change: a connection is chosen for its unfinished body only if that request is its only open one, and the body is remembered by its request. If every connection has an open request, the new one is closed, as before.

Measured: the 3 tests pass.

--- /dev/null
+++ b/packages/gateway/src/connection_limit.test.ts
@@ -0,0 +1,83 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import type {ServerResponse} from 'node:http';
+import net from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {limitConnections} from './connection_limit.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+const UNFINISHED =
+  'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nunfinish';
+
+describe('limitConnections', () => {
+  const MAX_CONNECTIONS = 2;
+  let server: http.Server;
+  let open: ServerResponse[];
+  let clients: net.Socket[];
+
+  beforeEach(async () => {
+    open = [];
+    clients = [];
+    server = http.createServer((req, res) => {
+      req.resume();
+      open.push(res);
+    });
+    limitConnections(server, MAX_CONNECTIONS, true, () => undefined);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  });
+
+  afterEach(() => {
+    for (const client of clients) client.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  const until = async (condition: () => boolean): Promise<void> => {
+    for (let i = 0; i < 400 && !condition(); i++) {
+      await new Promise(resolve => setTimeout(resolve, 5));
+    }
+    expect(condition()).toBe(true);
+  };
+
+  const connect = async (bytes: string, requests: number): Promise<void> => {
+    const {port} = server.address() as AddressInfo;
+    const client = net.connect(port, '127.0.0.1');
+    client.on('error', () => undefined);
+    client.resume();
+    clients.push(client);
+    const before = open.length;
+    client.write(bytes);
+    await until(() => client.closed || open.length === before + requests);
+  };
+
+  const closed = (): boolean[] => clients.map(client => client.closed);
+
+  it('keeps a connection whose unfinished body follows an open request', async () => {
+    await connect(REQUEST + UNFINISHED, 2);
+    await connect(UNFINISHED, 1);
+    await connect(REQUEST, 1);
+    await until(() => closed().includes(true));
+    expect(closed()).toEqual([false, true, false]);
+  });
+
+  it('closes the new connection if each has an open request', async () => {
+    await connect(REQUEST + UNFINISHED, 2);
+    await connect(REQUEST + UNFINISHED, 2);
+    await connect(REQUEST, 1);
+    await until(() => closed().includes(true));
+    expect(closed()).toEqual([false, false, true]);
+  });
+
+  it('closes one whose unfinished body is left after its responses', async () => {
+    await connect(REQUEST + UNFINISHED, 2);
+    await connect(REQUEST, 1);
+    const [first] = open;
+    first!.end();
+    await once(first!, 'finish');
+    await connect(REQUEST, 1);
+    await until(() => closed().includes(true));
+    expect(closed()).toEqual([true, false, false]);
+  });
+});
--- a/packages/gateway/src/connection_limit.ts
+++ b/packages/gateway/src/connection_limit.ts
@@ -18,19 +18,31 @@
   onClosed: () => void,
 ): void {
   const silent = new Set<Socket>();
-  const sending = new Set<Socket>();
+  /** Latest request of each connection whose body is not complete. */
+  const sending = new Map<Socket, IncomingMessage>();
   const idle = new Set<Socket>();
   const openRequests = new Map<Socket, number>();
   let count = 0;
+  const endBody = (req: IncomingMessage): void => {
+    if (sending.get(req.socket) === req) sending.delete(req.socket);
+  };
+  /** The oldest connection that owes no response to a complete request. */
+  const oldestSending = (): Socket | undefined => {
+    for (const socket of sending.keys()) {
+      if (openRequests.get(socket) === 1) return socket;
+    }
+    return undefined;
+  };
   const beginRequest = (socket: Socket): void => {
     silent.delete(socket);
     idle.delete(socket);
     openRequests.set(socket, (openRequests.get(socket) ?? 0) + 1);
   };
-  const endRequest = (socket: Socket): void => {
+  const endRequest = (req: IncomingMessage): void => {
+    const {socket} = req;
     const left = (openRequests.get(socket) ?? 0) - 1;
     openRequests.set(socket, left);
-    sending.delete(socket);
+    endBody(req);
     if (left === 0 && !socket.destroyed) idle.add(socket);
   };
   server.on('connection', (socket: Socket) => {
@@ -42,9 +54,11 @@
     });
     silent.add(socket);
     if (count <= maxConnections) return;
-    const excess = [silent, sending, idle]
-      .map(sockets => sockets.values().next().value)
-      .find(oldest => oldest !== undefined && oldest !== socket);
+    const [oldestSilent] = silent;
+    const [oldestIdle] = idle;
+    const excess = [oldestSilent, oldestSending(), oldestIdle].find(
+      oldest => oldest !== undefined && oldest !== socket,
+    );
     onClosed();
     (excess ?? socket).destroy();
   });
@@ -52,10 +66,10 @@
     const {socket} = req;
     beginRequest(socket);
     if (bodiesEnd && hasBodyHeaders(req)) {
-      sending.add(socket);
-      req.once('end', () => sending.delete(socket));
+      sending.set(socket, req);
+      req.once('end', () => endBody(req));
     }
-    res.once('finish', () => endRequest(socket));
+    res.once('finish', () => endRequest(req));
   });
   server.on('connect', (_req: IncomingMessage, stream: Duplex) =>
     beginRequest(stream as Socket),
