Answer open requests before closing for what can't be served

A 408 promises that a request has not run; this one may have.

Cause: the server left errors of its callers to Node.js, which writes a raw response and destroys the socket, whatever is open before it: for bytes that are no request, malformed bodies, heads that are too large or too slow, and bytes behind a request that says "Connection: close". A request without a host was refused before the gate, so that those behind it were still passed on. A CONNECT was neither answered nor closed, as a listener that only counts took it; its connection held its place for good.

Change: PipelineGate owns the end of such a connection. It reads no more of it, answers what was read before in order, writes the 4xx at its place, and closes. A request whose body can't be complete any more is given up, and the 4xx is its response, unless it has one. The socket is destroyed a second after its last response, as bytes that were not read would reset it and lose that. caller_error is gone from the reasons of an early close.

Why it works: only the gate knows which responses are owed. The limits stay: open requests end by their time limits, nothing more is read meanwhile, and a slow head is still refused after headersTimeout.

--- a/packages/gateway/src/early_close.ts
+++ b/packages/gateway/src/early_close.ts
@@ -7,8 +7,6 @@
   | 'response_cut'
   /** The server no longer listens. */
   | 'stopping'
-  /** The caller sent something that is not a request, or sent it too slowly. */
-  | 'caller_error'
   | 'other';
 
 /** Closes the connection of a response that has begun and can't be completed. */
@@ -60,6 +58,5 @@
 
 function reasonOf({errored}: Socket, isListening: boolean): EarlyCloseReason {
   if (errored instanceof ResponseCutError) return 'response_cut';
-  if (errored) return 'caller_error';
   return isListening ? 'other' : 'stopping';
 }
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -9,6 +9,7 @@
 import {PipelineGate} from './pipeline_gate.js';
 import type {GatewaySettings} from './settings.js';
 import {maxConnectionsOf} from './settings.js';
+import {answerUnservable, refuseWithoutHost} from './unservable_input.js';
 
 /** Limits of a server for callers that nobody controls. */
 export interface ServerGuard {
@@ -43,7 +44,7 @@
   serve: ServeRequest,
   isPassedOn: (res: ServerResponse) => boolean = () => false,
 ): http.Server {
-  const gate = new PipelineGate(serve, {
+  const gate = new PipelineGate(refuseWithoutHost(serve), {
     onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
     onClosed: (socket, open, unserved) => {
       const {listening} = server;
@@ -53,9 +54,12 @@
       guard.log.info('requests_unserved', {server: guard.server, unserved});
     },
   });
-  const server = http.createServer(options, (req, res) =>
-    gate.handle(req, res),
+  const server = http.createServer(
+    // Node.js would refuse the request without the gate.
+    {...options, requireHostHeader: false},
+    (req, res) => gate.handle(req, res),
   );
+  answerUnservable(server, gate);
   guardConnections(server, guard);
   return server;
 }
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -13,6 +13,12 @@
 /** Requests of all connections that wait behind others of their connection. */
 export const MAX_WAITING_REQUESTS = 2_000;
 
+/**
+ * Milliseconds for which a connection is left open after its last response: closed
+ * with bytes that were not read, it would be reset and the response lost.
+ */
+const LAST_RESPONSE_LINGER_MS = 1_000;
+
 /** A request that has been read, with its response. */
 interface Exchange {
   readonly req: IncomingMessage;
@@ -23,8 +29,12 @@
 interface Pipeline {
   readonly served: Set<ServerResponse>;
   waiting: Exchange[];
-  /** Whether no more of its requests are served. */
+  /** The latest request, as long as its body is not complete. */
+  incomplete: Exchange | null;
+  /** Whether no more requests are read from it. */
   isCut: boolean;
+  /** Written after all responses, before it is closed. */
+  lastBytes: string;
   /** Requests that were read after that, or waited then. */
   unserved: number;
 }
@@ -71,12 +81,13 @@
   handle(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
     const pipeline = this.pipelines.get(socket) ?? this.open(socket);
-    if (!pipeline.isCut && isEnding(socket, pipeline)) this.end(pipeline);
+    if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
     if (pipeline.isCut) {
       pipeline.unserved++;
       process.nextTick(() => socket.pause());
       return;
     }
+    pipeline.incomplete = {req, res};
     if (!isFull(pipeline)) {
       this.start(pipeline, req, res);
       return;
@@ -91,11 +102,32 @@
     if (isTooFarAhead) this.cut(pipeline);
   }
 
+  /**
+   * Ends a connection of which no more can be read: answers what was read before,
+   * and then writes a response to what can't be served.
+   */
+  end(socket: Socket, response: string): void {
+    const pipeline = this.pipelines.get(socket) ?? this.open(socket);
+    process.nextTick(() => socket.pause());
+    if (pipeline.isCut) return;
+    pipeline.isCut = true;
+    if (this.giveUpIncomplete(pipeline)) pipeline.lastBytes = response;
+    closeIfDone(socket, pipeline);
+  }
+
+  /** Tells the first open response of a connection that more can be written. */
+  resumeWriting(socket: Socket): void {
+    const [first] = this.pipelines.get(socket)?.served ?? [];
+    first?.emit('drain');
+  }
+
   private open(socket: Socket): Pipeline {
     const pipeline: Pipeline = {
       served: new Set(),
       waiting: [],
+      incomplete: null,
       isCut: false,
+      lastBytes: '',
       unserved: 0,
     };
     this.pipelines.set(socket, pipeline);
@@ -119,15 +151,17 @@
     res: ServerResponse,
   ): void {
     pipeline.served.delete(res);
-    if (isEnding(socket, pipeline)) this.end(pipeline);
-    if (pipeline.isCut) {
-      if (pipeline.served.size === 0) socket.destroySoon();
-      return;
+    const {incomplete} = pipeline;
+    if (incomplete?.res === res && incomplete.req.complete) {
+      pipeline.incomplete = null;
     }
+    if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
     const next = pipeline.waiting.shift();
     if (next) {
       this.waitingCount--;
       this.start(pipeline, next.req, next.res);
+    } else if (pipeline.isCut) {
+      closeIfDone(socket, pipeline);
     } else if (pipeline.served.size === MAX_SERVED_PER_CONNECTION - 1) {
       socket.resume();
     }
@@ -137,10 +171,10 @@
   private cut(pipeline: Pipeline): void {
     this.events.onCut(pipeline.waiting.length);
     this.forgetWaiting(pipeline);
-    this.end(pipeline);
+    pipeline.isCut = true;
   }
 
-  private end(pipeline: Pipeline): void {
+  private dropWaiting(pipeline: Pipeline): void {
     pipeline.isCut = true;
     pipeline.unserved += pipeline.waiting.length;
     this.forgetWaiting(pipeline);
@@ -149,7 +183,7 @@
   private handleLoss(socket: Socket, pipeline: Pipeline): void {
     this.pipelines.delete(socket);
     this.events.onClosed(socket, [...pipeline.served], pipeline.unserved);
-    this.end(pipeline);
+    this.dropWaiting(pipeline);
     for (const res of pipeline.served) {
       // Node.js tells only the first response of a connection that it is lost.
       if (!res.socket) res.emit('close');
@@ -157,6 +191,24 @@
     pipeline.served.clear();
   }
 
+  /**
+   * Gives up the latest request if its body can't be complete any more; returns
+   * false if it has been answered all the same.
+   */
+  private giveUpIncomplete(pipeline: Pipeline): boolean {
+    const {incomplete, waiting, served} = pipeline;
+    if (!incomplete || incomplete.req.complete) return true;
+    const {res} = incomplete;
+    if (res.headersSent) return false;
+    if (served.delete(res)) {
+      res.emit('close');
+    } else if (waiting.at(-1)?.res === res) {
+      waiting.pop();
+      this.waitingCount--;
+    }
+    return true;
+  }
+
   private forgetWaiting(pipeline: Pipeline): void {
     this.waitingCount -= pipeline.waiting.length;
     pipeline.waiting = [];
@@ -172,10 +224,22 @@
   return false;
 }
 
+function closeIfDone(socket: Socket, pipeline: Pipeline): void {
+  const {served, waiting, lastBytes} = pipeline;
+  if (served.size > 0 || waiting.length > 0) return;
+  if (socket.destroyed || socket.writableEnded) return;
+  socket.end(lastBytes);
+  const timer = setTimeout(() => socket.destroy(), LAST_RESPONSE_LINGER_MS);
+  socket.once('close', () => clearTimeout(timer));
+}
+
 function isFull({served, isCut}: Pipeline): boolean {
   return isCut || served.size >= MAX_SERVED_PER_CONNECTION;
 }
 
+/** Pauses a connection unless the body of a request is still read from it. */
 function pauseIfFull(socket: Socket, pipeline: Pipeline): void {
-  if (isFull(pipeline)) socket.pause();
+  const {incomplete} = pipeline;
+  const isBodyRead = incomplete !== null && !incomplete.req.complete;
+  if (isFull(pipeline) && !(pipeline.isCut && isBodyRead)) socket.pause();
 }
