Close a connection after a request that asks for an upgrade

What callers could do: have an upstream run a request that nobody sent, hidden in the body of another one. And what they sent behind an upgrade in the same piece got no response.

Cause: the parser of Node.js stops behind a request with "Connection: upgrade" and "Upgrade". As nobody upgrades here, Node.js serves the request as an ordinary one, but leaves out the rest of the bytes that it has read with it. The next read is taken for the beginning of a request, though it may lie in a body.

Evidence: "do not take the end of a body behind an upgrade for a request" failed: "expected [ '/open/1', '/open/smuggled' ] to deeply equal [ '/open/1' ]".

Change: the response to such a request closes its connection, and the gate serves nothing behind it.

Measured: the test passes, and those of the gate.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -88,6 +88,7 @@
       return;
     }
     pipeline.incomplete = {req, res};
+    if (isUpgrade(req)) res.shouldKeepAlive = false;
     if (!isFull(pipeline)) {
       this.start(pipeline, req, res);
       return;
@@ -219,11 +220,17 @@
 function isEnding(socket: Socket, {served}: Pipeline): boolean {
   if (socket.writableEnded || socket.destroyed) return true;
   for (const res of served) {
-    if (res.headersSent && !res.shouldKeepAlive) return true;
+    const isDecided = res.headersSent || isUpgrade(res.req);
+    if (isDecided && !res.shouldKeepAlive) return true;
   }
   return false;
 }
 
+/** Whether Node.js leaves out the rest of what it has read behind a request. */
+function isUpgrade({headers}: IncomingMessage): boolean {
+  return headers.upgrade !== undefined;
+}
+
 function closeIfDone(socket: Socket, pipeline: Pipeline): void {
   const {served, waiting, lastBytes} = pipeline;
   if (served.size > 0 || waiting.length > 0) return;
