Let the gate end connections as all others are ended

The gate kept a connection that it had ended open for a second of its own, unlike those that Node.js ends after a response that says so. Both now go through destroySoon, so that one place can see to it that callers get all of the last response. A connection that has been ended is not paused any more.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -13,12 +13,6 @@
 /** Requests of all connections that wait behind others of their connection. */
 export const MAX_WAITING_REQUESTS = 2_000;
 
-/**
- * Milliseconds for which a connection is left open after its last response: closed
- * with bytes that were not read, it would be reset and the response lost.
- */
-const LAST_RESPONSE_LINGER_MS = 1_000;
-
 /** A request that has been read, with its response. */
 interface Exchange {
   readonly req: IncomingMessage;
@@ -84,7 +78,7 @@
     if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
     if (pipeline.isCut) {
       pipeline.unserved++;
-      process.nextTick(() => socket.pause());
+      process.nextTick(() => pauseUnlessEnded(socket));
       return;
     }
     pipeline.incomplete = {req, res};
@@ -109,7 +103,7 @@
    */
   end(socket: Socket, response: string): void {
     const pipeline = this.pipelines.get(socket) ?? this.open(socket);
-    process.nextTick(() => socket.pause());
+    process.nextTick(() => pauseUnlessEnded(socket));
     if (pipeline.isCut) return;
     pipeline.isCut = true;
     if (this.giveUpIncomplete(pipeline)) pipeline.lastBytes = response;
@@ -235,9 +229,8 @@
   const {served, waiting, lastBytes} = pipeline;
   if (served.size > 0 || waiting.length > 0) return;
   if (socket.destroyed || socket.writableEnded) return;
-  socket.end(lastBytes);
-  const timer = setTimeout(() => socket.destroy(), LAST_RESPONSE_LINGER_MS);
-  socket.once('close', () => clearTimeout(timer));
+  if (lastBytes) socket.write(lastBytes);
+  socket.destroySoon();
 }
 
 function isFull({served, isCut}: Pipeline): boolean {
@@ -248,5 +241,10 @@
 function pauseIfFull(socket: Socket, pipeline: Pipeline): void {
   const {incomplete} = pipeline;
   const isBodyRead = incomplete !== null && !incomplete.req.complete;
-  if (isFull(pipeline) && !(pipeline.isCut && isBodyRead)) socket.pause();
+  if (pipeline.isCut && isBodyRead) return;
+  if (isFull(pipeline)) pauseUnlessEnded(socket);
+}
+
+function pauseUnlessEnded(socket: Socket): void {
+  if (!socket.writableEnded) socket.pause();
 }
