Pass nothing on behind a stream that may be cut off

Cause: only a closed connection tells a caller that a response which has begun is not complete. The requests behind it were served at the same time, so that the close took their responses too. Other responses are held until they are complete and can't be cut.

Evidence: cut_streams.test.ts, "take no request with them that is sent with them" and "later" failed: "expected [ '/stream/1', '/unsafe/2' ] to deeply equal [ '/stream/1' ]".

Change: the gate has requests wait that follow a stream on their connection, until it has ended; if it is cut, they were not passed on. Responses come in the order of the requests in any case, so that none comes earlier than before the end of the stream. The time that a request waits in the gate now counts against its time limit; for the seventeenth and later ones of a connection, which waited before too, it did not. A response whose head is not sent while another request waits keeps its connection, as with requests that are served.

Measured: packages/gateway, unanswered_connections, cut_streams, platform_gateway, broken_responses, stream_versions and planned_stop pass (255 tests).

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -14,6 +14,7 @@
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import {isStream} from './open_request.js';
 import {partIds} from './prompt_parts.js';
 import type {ReceivedBody} from './request_body.js';
 import {
@@ -67,9 +68,23 @@
     this.isClosing = true;
   }
 
-  /** Serves one request from its head to its log line; never rejects. */
-  async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const timer = new RequestTimer(this.gateway.clock, res);
+  /** Whether the response to a request may be cut off after it has begun. */
+  mayBeCut({headers, url}: IncomingMessage): boolean {
+    const {routes} = this.gateway.configState;
+    const route = routes?.find(headers.host ?? '', url ?? '');
+    return !routes || (route && isStream(route)) === true;
+  }
+
+  /**
+   * Serves one request, which has waited for others of its connection, from its
+   * head to its log line; never rejects.
+   */
+  async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    waitedMs: number,
+  ): Promise<void> {
+    const timer = new RequestTimer(this.gateway.clock, res, waitedMs);
     this.gateway.stopGate.add(timer);
     this.openCount++;
     this.closeAfterLastResponse(req, res);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -214,11 +214,14 @@
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
       guardOf('callers'),
-      (req, res) => {
+      (req, res, waitedMs) => {
         this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
+        void this.callerServer.serve(req, res, waitedMs);
+      },
+      {
+        isPassedOn: res => this.callerServer.isPassedOn(res),
+        mayBeCut: req => this.callerServer.mayBeCut(req),
       },
-      res => this.callerServer.isPassedOn(res),
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -1,11 +1,11 @@
 import type {Logger} from '@fescuespool/common';
 import http from 'node:http';
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {limitConnections} from './connection_limit.js';
 import type {EarlyClose} from './early_close.js';
 import {describeEarlyClose} from './early_close.js';
 import type {GatewayMetrics, UnrulyReason} from './gateway_metrics.js';
-import type {ServeRequest} from './pipeline_gate.js';
+import type {PipelineEvents, ServeRequest} from './pipeline_gate.js';
 import {PipelineGate} from './pipeline_gate.js';
 import type {GatewaySettings} from './settings.js';
 import {maxConnectionsOf} from './settings.js';
@@ -34,17 +34,28 @@
   });
 }
 
-/**
- * Creates an HTTP server that bounds connections and requests sent ahead.
- * `isPassedOn` tells of an open request whether an upstream may be at work on it.
- */
+/** What a server knows of its requests. */
+export interface RequestInspector {
+  /** Whether an open request has been sent to an upstream. */
+  readonly isPassedOn: (res: ServerResponse) => boolean;
+  /** Whether the response to a request may be cut off after it has begun. */
+  readonly mayBeCut: (req: IncomingMessage) => boolean;
+}
+
+const NO_UPSTREAMS: RequestInspector = {
+  isPassedOn: () => false,
+  mayBeCut: () => false,
+};
+
+/** Creates an HTTP server that bounds connections and requests sent ahead. */
 export function createGuardedServer(
   options: http.ServerOptions,
   guard: ServerGuard,
   serve: ServeRequest,
-  isPassedOn: (res: ServerResponse) => boolean = () => false,
+  inspector: RequestInspector = NO_UPSTREAMS,
 ): http.Server {
-  const gate = new PipelineGate(refuseWithoutHost(serve), {
+  const {isPassedOn, mayBeCut} = inspector;
+  const events: PipelineEvents = {
     onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
     onClosed: (socket, open, unserved) => {
       const {listening} = server;
@@ -53,7 +64,9 @@
       if (unserved === 0) return;
       guard.log.info('requests_unserved', {server: guard.server, unserved});
     },
-  });
+  };
+  const serveValid = refuseWithoutHost(serve);
+  const gate = new PipelineGate(serveValid, events, mayBeCut);
   const server = http.createServer(
     // Node.js would refuse the request without the gate.
     {...options, requireHostHeader: false},
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -17,11 +17,15 @@
 interface Exchange {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
+  /** When it was read, in monotonic milliseconds. */
+  readonly readAtMs: number;
 }
 
 /** The requests of one connection. */
 interface Pipeline {
   readonly served: Set<ServerResponse>;
+  /** The response being served that may be cut off, and the connection with it. */
+  uncertain: ServerResponse | null;
   waiting: Exchange[];
   /** The latest request, as long as its body is not complete. */
   incomplete: Exchange | null;
@@ -48,12 +52,16 @@
   ) => void;
 }
 
-/** Handles one request. */
-export type ServeRequest = (req: IncomingMessage, res: ServerResponse) => void;
+/** Handles one request, which has waited for others of its connection. */
+export type ServeRequest = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  waitedMs: number,
+) => void;
 
 /**
  * Bounds the requests that callers send ahead on a connection without taking
- * the answers. What is not read stays in the socket, so that the caller has to
+ * the answers. Requests behind a response that may be cut off wait for its end. What is not read stays in the socket, so that the caller has to
  * wait. A connection that is read further than the limits is closed after the
  * responses to the requests that are being served.
  */
@@ -64,6 +72,8 @@
   constructor(
     private readonly serve: ServeRequest,
     private readonly events: PipelineEvents,
+    /** Whether the response to a request may be cut off after it has begun. */
+    private readonly mayBeCut: (req: IncomingMessage) => boolean = () => false,
   ) {}
 
   /** Number of requests that wait behind others of their connection. */
@@ -81,15 +91,19 @@
       process.nextTick(() => pauseUnlessEnded(socket));
       return;
     }
-    pipeline.incomplete = {req, res};
+    const exchange = {req, res, readAtMs: performance.now()};
+    pipeline.incomplete = exchange;
     if (isUpgrade(req)) res.shouldKeepAlive = false;
-    if (!isFull(pipeline)) {
-      this.start(pipeline, req, res);
+    if (mayStart(pipeline)) {
+      this.start(pipeline, exchange);
       return;
     }
     // Node.js resumes the socket at the end of each request of a read.
     process.nextTick(() => pauseIfFull(socket, pipeline));
-    pipeline.waiting.push({req, res});
+    for (const earlier of pipeline.served) {
+      if (!earlier.headersSent) earlier.shouldKeepAlive = true;
+    }
+    pipeline.waiting.push(exchange);
     this.waitingCount++;
     const isTooFarAhead =
       pipeline.waiting.length > MAX_WAITING_PER_CONNECTION ||
@@ -119,6 +133,7 @@
   private open(socket: Socket): Pipeline {
     const pipeline: Pipeline = {
       served: new Set(),
+      uncertain: null,
       waiting: [],
       incomplete: null,
       isCut: false,
@@ -130,14 +145,22 @@
     return pipeline;
   }
 
-  private start(
-    pipeline: Pipeline,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): void {
+  private start(pipeline: Pipeline, {req, res, readAtMs}: Exchange): void {
     pipeline.served.add(res);
+    if (this.mayBeCut(req)) pipeline.uncertain = res;
     res.once('finish', () => this.handleEnd(pipeline, req.socket, res));
-    this.serve(req, res);
+    this.serve(req, res, performance.now() - readAtMs);
+  }
+
+  private startWaiting(socket: Socket, pipeline: Pipeline): void {
+    for (;;) {
+      if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
+      if (!mayStart(pipeline)) return;
+      const next = pipeline.waiting.shift();
+      if (!next) return;
+      this.waitingCount--;
+      this.start(pipeline, next);
+    }
   }
 
   private handleEnd(
@@ -150,14 +173,10 @@
     if (incomplete?.res === res && incomplete.req.complete) {
       pipeline.incomplete = null;
     }
-    if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
-    const next = pipeline.waiting.shift();
-    if (next) {
-      this.waitingCount--;
-      this.start(pipeline, next.req, next.res);
-    } else if (pipeline.isCut) {
-      closeIfDone(socket, pipeline);
-    } else if (pipeline.served.size === MAX_SERVED_PER_CONNECTION - 1) {
+    if (pipeline.uncertain === res) pipeline.uncertain = null;
+    this.startWaiting(socket, pipeline);
+    if (pipeline.isCut) closeIfDone(socket, pipeline);
+    else if (sizeOf(pipeline) === MAX_SERVED_PER_CONNECTION - 1) {
       socket.resume();
     }
     pauseIfFull(socket, pipeline);
@@ -226,15 +245,24 @@
 }
 
 function closeIfDone(socket: Socket, pipeline: Pipeline): void {
-  const {served, waiting, lastBytes} = pipeline;
-  if (served.size > 0 || waiting.length > 0) return;
+  const {lastBytes} = pipeline;
+  if (sizeOf(pipeline) > 0) return;
   if (socket.destroyed || socket.writableEnded) return;
   if (lastBytes) socket.write(lastBytes);
   socket.destroySoon();
 }
 
-function isFull({served, isCut}: Pipeline): boolean {
-  return isCut || served.size >= MAX_SERVED_PER_CONNECTION;
+/** Whether another request may be served beside those that are. */
+function mayStart({served, uncertain}: Pipeline): boolean {
+  return served.size < MAX_SERVED_PER_CONNECTION && uncertain === null;
+}
+
+function sizeOf({served, waiting}: Pipeline): number {
+  return served.size + waiting.length;
+}
+
+function isFull(pipeline: Pipeline): boolean {
+  return pipeline.isCut || sizeOf(pipeline) >= MAX_SERVED_PER_CONNECTION;
 }
 
 /** Pauses a connection unless the body of a request is still read from it. */
--- a/packages/gateway/src/request_timer.ts
+++ b/packages/gateway/src/request_timer.ts
@@ -19,8 +19,10 @@
   constructor(
     private readonly clock: Clock,
     res: ServerResponse,
+    /** Milliseconds for which the request has waited already. */
+    waitedMs: number,
   ) {
-    this.startMs = clock.monotonicMs();
+    this.startMs = clock.monotonicMs() - waitedMs;
     res.once('close', () => {
       if (res.writableFinished) return;
       this.hasCallerLeft = true;
--- a/packages/gateway/src/unservable_input.ts
+++ b/packages/gateway/src/unservable_input.ts
@@ -1,5 +1,5 @@
 import type http from 'node:http';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -59,9 +59,9 @@
 
 /** Refuses HTTP/1.1 requests without a host; the others are served. */
 export function refuseWithoutHost(serve: ServeRequest): ServeRequest {
-  return (req: IncomingMessage, res: ServerResponse): void => {
+  return (req, res, waitedMs): void => {
     if (req.httpVersion !== '1.1' || req.headers.host !== undefined) {
-      serve(req, res);
+      serve(req, res, waitedMs);
       return;
     }
     res.shouldKeepAlive = false;
