--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -52,11 +52,6 @@
     return this.openCount;
   }
 
-  /** Whether a request has been sent to an upstream. */
-  isPassedOn(res: ServerResponse): boolean {
-    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
-  }
-
   /** Resolves once no request is open. */
   whenIdle(): Promise<void> {
     if (this.openCount === 0) return Promise.resolve();
@@ -68,6 +63,11 @@
     this.isClosing = true;
   }
 
+  /** Whether a request has been sent to an upstream. */
+  isPassedOn(res: ServerResponse): boolean {
+    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
+  }
+
   /** Whether the response to a request may be cut off after it has begun. */
   mayBeCut({headers, url}: IncomingMessage): boolean {
     const {routes} = this.gateway.configState;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,10 +218,7 @@
         this.idleConnections.handleRequest(req, res);
         void this.callerServer.serve(req, res, waitedMs);
       },
-      {
-        isPassedOn: res => this.callerServer.isPassedOn(res),
-        mayBeCut: req => this.callerServer.mayBeCut(req),
-      },
+      this.callerServer,
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -37,9 +37,9 @@
 /** What a server knows of its requests. */
 export interface RequestInspector {
   /** Whether an open request has been sent to an upstream. */
-  readonly isPassedOn: (res: ServerResponse) => boolean;
+  isPassedOn(res: ServerResponse): boolean;
   /** Whether the response to a request may be cut off after it has begun. */
-  readonly mayBeCut: (req: IncomingMessage) => boolean;
+  mayBeCut(req: IncomingMessage): boolean;
 }
 
 const NO_UPSTREAMS: RequestInspector = {
@@ -54,19 +54,25 @@
   serve: ServeRequest,
   inspector: RequestInspector = NO_UPSTREAMS,
 ): http.Server {
-  const {isPassedOn, mayBeCut} = inspector;
   const events: PipelineEvents = {
     onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
     onClosed: (socket, open, unserved) => {
       const {listening} = server;
-      const close = describeEarlyClose(socket, open, isPassedOn, listening);
+      const close = describeEarlyClose(
+        socket,
+        open,
+        res => inspector.isPassedOn(res),
+        listening,
+      );
       if (close) recordEarlyClose(guard, close);
       if (unserved === 0) return;
       guard.log.info('requests_unserved', {server: guard.server, unserved});
     },
   };
   const serveValid = refuseWithoutHost(serve);
-  const gate = new PipelineGate(serveValid, events, mayBeCut);
+  const gate = new PipelineGate(serveValid, events, req =>
+    inspector.mayBeCut(req),
+  );
   const server = http.createServer(
     // Node.js would refuse the request without the gate.
     {...options, requireHostHeader: false},
