--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -14,6 +14,7 @@
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import {isStream} from './open_request.js';
 import type {OpenResponseCounts} from './open_responses.js';
 import {OpenResponses} from './open_responses.js';
 import {partIds} from './prompt_parts.js';
@@ -59,11 +60,6 @@
     return this.openResponses.countByState();
   }
 
-  /** Whether a request has been sent to an upstream. */
-  isPassedOn(res: ServerResponse): boolean {
-    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
-  }
-
   /** Resolves once no request is open and all responses have been sent. */
   whenIdle(): Promise<void> {
     if (this.isIdle) return Promise.resolve();
@@ -75,9 +71,28 @@
     this.isClosing = true;
   }
 
-  /** Serves one request from its head to its log line; never rejects. */
-  async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const timer = new RequestTimer(this.gateway.clock, res);
+  /** Whether a request has been sent to an upstream. */
+  isPassedOn(res: ServerResponse): boolean {
+    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
+  }
+
+  /** Whether the response to a request may be cut off after it has begun. */
+  mayBeCut({headers, url}: IncomingMessage): boolean {
+    const {routes} = this.gateway.configState;
+    const route = routes?.find(headers.host ?? '', url ?? '');
+    return !routes || (route && isStream(route)) === true;
+  }
+
+  /**
+   * Serves one request, which has waited for others of its connection, from its
+   * head to its log line; never rejects.
+   */
+  async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    waitedMs: number,
+  ): Promise<void> {
+    const timer = new RequestTimer(this.gateway.clock, res, waitedMs);
     this.gateway.stopGate.add(timer);
     this.openCount++;
     this.openResponses.add(res);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -216,11 +216,11 @@
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
       guardOf('callers'),
-      (req, res) => {
+      (req, res, waitedMs) => {
         this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res);
+        void this.callerServer.serve(req, res, waitedMs);
       },
-      res => this.callerServer.isPassedOn(res),
+      this.callerServer,
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -17,14 +17,22 @@
 interface Exchange {
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
+  /** When it was read, in monotonic milliseconds. */
+  readonly readAtMs: number;
 }
 
 /** The requests of one connection. */
 interface Pipeline {
   readonly served: Set<ServerResponse>;
+  /** The response being served that may be cut off, and the connection with it. */
+  uncertain: ServerResponse | null;
   waiting: Exchange[];
-  /** Whether no more of its requests are served. */
+  /** The latest request, as long as its body is not complete. */
+  incomplete: Exchange | null;
+  /** Whether no more requests are read from it. */
   isCut: boolean;
+  /** Written after all responses, before it is closed. */
+  lastBytes: string;
   /** Requests that were read after that, or waited then. */
   unserved: number;
 }
@@ -44,12 +52,16 @@
   ) => void;
 }
 
-/** Handles one request. */
-export type ServeRequest = (req: IncomingMessage, res: ServerResponse) => void;
+/** Handles one request, which has waited for others of its connection. */
+export type ServeRequest = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  waitedMs: number,
+) => void;
 
 /**
  * Bounds the requests that callers send ahead on a connection without taking
- * the answers. What is not read stays in the socket, so that the caller has to
+ * the answers. Requests behind a response that may be cut off wait for its end. What is not read stays in the socket, so that the caller has to
  * wait. A connection that is read further than the limits is closed after the
  * responses to the requests that are being served.
  */
@@ -60,6 +72,8 @@
   constructor(
     private readonly serve: ServeRequest,
     private readonly events: PipelineEvents,
+    /** Whether the response to a request may be cut off after it has begun. */
+    private readonly mayBeCut: (req: IncomingMessage) => boolean = () => false,
   ) {}
 
   /** Number of requests that wait behind others of their connection. */
@@ -71,19 +85,25 @@
   handle(req: IncomingMessage, res: ServerResponse): void {
     const {socket} = req;
     const pipeline = this.pipelines.get(socket) ?? this.open(socket);
-    if (!pipeline.isCut && isEnding(socket, pipeline)) this.end(pipeline);
+    if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
     if (pipeline.isCut) {
       pipeline.unserved++;
-      process.nextTick(() => socket.pause());
+      process.nextTick(() => pauseUnlessEnded(socket));
       return;
     }
-    if (!isFull(pipeline)) {
-      this.start(pipeline, req, res);
+    const exchange = {req, res, readAtMs: performance.now()};
+    pipeline.incomplete = exchange;
+    if (isUpgrade(req)) res.shouldKeepAlive = false;
+    if (mayStart(pipeline)) {
+      this.start(pipeline, exchange);
       return;
     }
     // Node.js resumes the socket at the end of each request of a read.
     process.nextTick(() => pauseIfFull(socket, pipeline));
-    pipeline.waiting.push({req, res});
+    for (const earlier of pipeline.served) {
+      if (!earlier.headersSent) earlier.shouldKeepAlive = true;
+    }
+    pipeline.waiting.push(exchange);
     this.waitingCount++;
     const isTooFarAhead =
       pipeline.waiting.length > MAX_WAITING_PER_CONNECTION ||
@@ -91,11 +111,33 @@
     if (isTooFarAhead) this.cut(pipeline);
   }
 
+  /**
+   * Ends a connection of which no more can be read: answers what was read before,
+   * and then writes a response to what can't be served.
+   */
+  end(socket: Socket, response: string): void {
+    const pipeline = this.pipelines.get(socket) ?? this.open(socket);
+    process.nextTick(() => pauseUnlessEnded(socket));
+    if (pipeline.isCut) return;
+    pipeline.isCut = true;
+    if (this.giveUpIncomplete(pipeline)) pipeline.lastBytes = response;
+    closeIfDone(socket, pipeline);
+  }
+
+  /** Tells the first open response of a connection that more can be written. */
+  resumeWriting(socket: Socket): void {
+    const [first] = this.pipelines.get(socket)?.served ?? [];
+    first?.emit('drain');
+  }
+
   private open(socket: Socket): Pipeline {
     const pipeline: Pipeline = {
       served: new Set(),
+      uncertain: null,
       waiting: [],
+      incomplete: null,
       isCut: false,
+      lastBytes: '',
       unserved: 0,
     };
     this.pipelines.set(socket, pipeline);
@@ -103,14 +145,22 @@
     return pipeline;
   }
 
-  private start(
-    pipeline: Pipeline,
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): void {
+  private start(pipeline: Pipeline, {req, res, readAtMs}: Exchange): void {
     pipeline.served.add(res);
+    if (this.mayBeCut(req)) pipeline.uncertain = res;
     res.once('finish', () => this.handleEnd(pipeline, req.socket, res));
-    this.serve(req, res);
+    this.serve(req, res, performance.now() - readAtMs);
+  }
+
+  private startWaiting(socket: Socket, pipeline: Pipeline): void {
+    for (;;) {
+      if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
+      if (!mayStart(pipeline)) return;
+      const next = pipeline.waiting.shift();
+      if (!next) return;
+      this.waitingCount--;
+      this.start(pipeline, next);
+    }
   }
 
   private handleEnd(
@@ -119,16 +169,14 @@
     res: ServerResponse,
   ): void {
     pipeline.served.delete(res);
-    if (isEnding(socket, pipeline)) this.end(pipeline);
-    if (pipeline.isCut) {
-      if (pipeline.served.size === 0) socket.destroySoon();
-      return;
+    const {incomplete} = pipeline;
+    if (incomplete?.res === res && incomplete.req.complete) {
+      pipeline.incomplete = null;
     }
-    const next = pipeline.waiting.shift();
-    if (next) {
-      this.waitingCount--;
-      this.start(pipeline, next.req, next.res);
-    } else if (pipeline.served.size === MAX_SERVED_PER_CONNECTION - 1) {
+    if (pipeline.uncertain === res) pipeline.uncertain = null;
+    this.startWaiting(socket, pipeline);
+    if (pipeline.isCut) closeIfDone(socket, pipeline);
+    else if (sizeOf(pipeline) === MAX_SERVED_PER_CONNECTION - 1) {
       socket.resume();
     }
     pauseIfFull(socket, pipeline);
@@ -137,10 +185,10 @@
   private cut(pipeline: Pipeline): void {
     this.events.onCut(pipeline.waiting.length);
     this.forgetWaiting(pipeline);
-    this.end(pipeline);
+    pipeline.isCut = true;
   }
 
-  private end(pipeline: Pipeline): void {
+  private dropWaiting(pipeline: Pipeline): void {
     pipeline.isCut = true;
     pipeline.unserved += pipeline.waiting.length;
     this.forgetWaiting(pipeline);
@@ -149,7 +197,7 @@
   private handleLoss(socket: Socket, pipeline: Pipeline): void {
     this.pipelines.delete(socket);
     this.events.onClosed(socket, [...pipeline.served], pipeline.unserved);
-    this.end(pipeline);
+    this.dropWaiting(pipeline);
     for (const res of pipeline.served) {
       // Node.js tells only the first response of a connection that it is lost.
       if (!res.socket) res.emit('close');
@@ -157,6 +205,24 @@
     pipeline.served.clear();
   }
 
+  /**
+   * Gives up the latest request if its body can't be complete any more; returns
+   * false if it has been answered all the same.
+   */
+  private giveUpIncomplete(pipeline: Pipeline): boolean {
+    const {incomplete, waiting, served} = pipeline;
+    if (!incomplete || incomplete.req.complete) return true;
+    const {res} = incomplete;
+    if (res.headersSent) return false;
+    if (served.delete(res)) {
+      res.emit('close');
+    } else if (waiting.at(-1)?.res === res) {
+      waiting.pop();
+      this.waitingCount--;
+    }
+    return true;
+  }
+
   private forgetWaiting(pipeline: Pipeline): void {
     this.waitingCount -= pipeline.waiting.length;
     pipeline.waiting = [];
@@ -167,15 +233,46 @@
 function isEnding(socket: Socket, {served}: Pipeline): boolean {
   if (socket.writableEnded || socket.destroyed) return true;
   for (const res of served) {
-    if (res.headersSent && !res.shouldKeepAlive) return true;
+    const isDecided = res.headersSent || isUpgrade(res.req);
+    if (isDecided && !res.shouldKeepAlive) return true;
   }
   return false;
 }
 
-function isFull({served, isCut}: Pipeline): boolean {
-  return isCut || served.size >= MAX_SERVED_PER_CONNECTION;
+/** Whether Node.js leaves out the rest of what it has read behind a request. */
+function isUpgrade({headers}: IncomingMessage): boolean {
+  return headers.upgrade !== undefined;
+}
+
+function closeIfDone(socket: Socket, pipeline: Pipeline): void {
+  const {lastBytes} = pipeline;
+  if (sizeOf(pipeline) > 0) return;
+  if (socket.destroyed || socket.writableEnded) return;
+  if (lastBytes) socket.write(lastBytes);
+  socket.destroySoon();
+}
+
+/** Whether another request may be served beside those that are. */
+function mayStart({served, uncertain}: Pipeline): boolean {
+  return served.size < MAX_SERVED_PER_CONNECTION && uncertain === null;
+}
+
+function sizeOf({served, waiting}: Pipeline): number {
+  return served.size + waiting.length;
 }
 
+function isFull(pipeline: Pipeline): boolean {
+  return pipeline.isCut || sizeOf(pipeline) >= MAX_SERVED_PER_CONNECTION;
+}
+
+/** Pauses a connection unless the body of a request is still read from it. */
 function pauseIfFull(socket: Socket, pipeline: Pipeline): void {
-  if (isFull(pipeline)) socket.pause();
+  const {incomplete} = pipeline;
+  const isBodyRead = incomplete !== null && !incomplete.req.complete;
+  if (pipeline.isCut && isBodyRead) return;
+  if (isFull(pipeline)) pauseUnlessEnded(socket);
+}
+
+function pauseUnlessEnded(socket: Socket): void {
+  if (!socket.writableEnded) socket.pause();
 }
