A connection is read until its caller closes it after the last response

Callers saw: the last response of a connection broke off if they had sent anything behind it, such as a further request that crossed the response's "Connection: close". A caller that had not yet read a response of 3,000,000 bytes got 127,843 of them. Cause: Node.js closes a connection as soon as the operating system has the last response. A TCP connection that is closed with unread input, or gets more later, is reset; the kernel then drops what it has not yet delivered. A gateway that stops announces this close in each response, and a slow caller or a narrow link has most of a response still to come.

Ruled out: the wait of the stop for responses, as the gateway had written all of them ('finish').

Change: LingeringConnections ends such a connection (FIN), takes it from its parser, and reads and discards input until the caller closes it, for at most 2 s, 256 KB and 1,024 reads. A stop waits for these too, within its grace. Why it works: nothing is left unread, so that no reset overtakes the response; the caller's close shows that it has all of it. What the caller sends behind the last response is not parsed, so that nothing of it is passed on. Left: a connection whose caller takes longer is closed after 2 s; input after that still resets it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 } from './guarded_server.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
+import {LingeringConnections} from './lingering_connections.js';
 import {createLocalMember} from './local_member.js';
 import {MemberDirectory} from './member_directory.js';
 import {OriginHistory} from './origin_history.js';
@@ -74,6 +75,7 @@
   private readonly callerServer: CallerServer;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
+  private readonly lingeringConnections: LingeringConnections;
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
@@ -221,6 +223,7 @@
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
+    this.lingeringConnections = new LingeringConnections(callerHttpServer);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
@@ -347,8 +350,9 @@
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const {callerServer, callerHttpServer} = this;
-    await stopGracefully(this.context, {callerServer, callerHttpServer});
+    const {callerServer, callerHttpServer, lingeringConnections} = this;
+    const servers = {callerServer, callerHttpServer, lingeringConnections};
+    await stopGracefully(this.context, servers);
   }
 
   /** Closes all servers, connections and timers immediately. */
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -64,7 +64,7 @@
   /** Closes the connections that have no open request and none that has begun. */
   private closeIdle(): void {
     for (const [socket, readBytes] of this.readBytes) {
-      const isIdle = !this.openRequests.has(socket);
+      const isIdle = !this.openRequests.has(socket) && !socket.writableEnded;
       if (isIdle && socket.bytesRead === readBytes) socket.destroy();
     }
   }
