--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,7 +24,6 @@
 } from './guarded_server.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
-import {LingeringConnections} from './lingering_connections.js';
 import {createLocalMember} from './local_member.js';
 import {MemberDirectory} from './member_directory.js';
 import {OriginHistory} from './origin_history.js';
@@ -75,7 +74,6 @@
   private readonly callerServer: CallerServer;
   private readonly callerHttpServer: http.Server;
   private readonly idleConnections: IdleConnections;
-  private readonly lingeringConnections: LingeringConnections;
   private readonly readyServer: http.Server;
   private readonly metricsServer: http.Server;
   private readonly upstreams = new UpstreamRegistry();
@@ -223,7 +221,6 @@
     );
     const {callerHttpServer} = this;
     this.idleConnections = new IdleConnections(callerHttpServer, clock, log);
-    this.lingeringConnections = new LingeringConnections(callerHttpServer);
     this.readyServer = createReadinessServer(
       settings.readyPath,
       () => this.isReady,
@@ -350,8 +347,8 @@
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const {callerServer, callerHttpServer, lingeringConnections} = this;
-    const servers = {callerServer, callerHttpServer, lingeringConnections};
+    const {callerServer, callerHttpServer, idleConnections} = this;
+    const servers = {callerServer, callerHttpServer, idleConnections};
     await stopGracefully(this.context, servers);
   }
 
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -1,7 +1,7 @@
 import {sleep} from '@fescuespool/common';
 import type {Server} from 'node:http';
 import type {CallerServer} from './caller_server.js';
-import type {LingeringConnections} from './lingering_connections.js';
+import type {IdleConnections} from './idle_connections.js';
 import {
   DEREGISTRATION_DELAY_MS,
   LAST_RESPONSE_MARGIN_MS,
@@ -13,7 +13,7 @@
 export interface StoppedServers {
   readonly callerServer: CallerServer;
   readonly callerHttpServer: Server;
-  readonly lingeringConnections: LingeringConnections;
+  readonly idleConnections: IdleConnections;
 }
 
 /**
@@ -23,7 +23,7 @@
  */
 export async function stopGracefully(
   {clock, log, members, settings, stopGate, upstreamPaths}: GatewayContext,
-  {callerServer, callerHttpServer, lingeringConnections}: StoppedServers,
+  {callerServer, callerHttpServer, idleConnections}: StoppedServers,
 ): Promise<void> {
   const endsAtMs = clock.monotonicMs() + settings.stopGraceMs - STOP_MARGIN_MS;
   log.info('gateway_stopping', {open: callerServer.openResponseCount});
@@ -36,7 +36,7 @@
   callerHttpServer.closeIdleConnections();
   const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
   const idle = [
-    callerServer.whenIdle().then(() => lingeringConnections.whenNone()),
+    callerServer.whenIdle().then(() => idleConnections.lingering.whenNone()),
     upstreamPaths.tunnels.whenIdle(),
   ];
   await Promise.race([Promise.all(idle), sleep(limitMs)]);
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {IDLE_CLOSE_MARGIN_MS} from './constants.js';
+import {LingeringConnections} from './lingering_connections.js';
 
 /** A connection without an open request. */
 interface IdleConnection {
@@ -16,6 +17,8 @@
  * that its last response announced, or that has come into force since.
  */
 export class IdleConnections {
+  /** Connections that have had their last response. */
+  readonly lingering: LingeringConnections;
   private readonly idle = new Map<Socket, IdleConnection>();
   /** Number of open requests of each connection that has any. */
   private readonly openRequests = new Map<Socket, number>();
@@ -27,6 +30,7 @@
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {
+    this.lingering = new LingeringConnections(server);
     server.on('connection', (socket: Socket) => {
       this.readBytes.set(socket, 0);
       socket.once('close', () => this.forget(socket));
