Owners of a queue at the same time share one retry budget

Cause: each member that was the owner of a queue by its own list and suspicions had the whole fixed part. Suspicions differ: a gateway that can't reach the owner asks the next one, while the owner suspects nobody and the next one suspects the owner. reachedPart counts what an owner suspects, not who asks another one. And each owner could hold at least one retry, so that many members that reach nobody had more together than the fixed part. Class: a share that is taken from one's own view of who shares.

Change: only the member that ranks first for the queue, among all that don't leave and suspected ones too, has the fixed part and gets it again with time. Members of one list agree on it whatever they suspect. Another one holds no more than the entries with recent messages lend, their equal parts of .15. The next few in rank (.05 of the fixed part) may gather one retry each from their requests, others with few entries none. queue_opened tells the rank.

Why it works: in any window the first in rank spends .6 of the fixed part; what all others hold at its beginning is at most .15 and the .05, and what is lent meanwhile .15, which makes .95, beside .18 of the requests. The budget of an owner that nobody suspects is whole whoever is idle, as it does not depend on messages.

Cost: until the list drops a first that died (its lease, 6 s), the one that takes over has what entries lend and the requests add, and no refill.

Ruled out: the share of members that ask an owner of late, for all owners. A member that sends nothing may have no requests or ask another owner, so that either idle entries cost callers their retries or the bound fails.

Not covered: two members that each rank first by lists that differ, for as long as they do.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -173,7 +173,7 @@
   handOverQueues(): void {
     const now = this.clock.monotonicMs();
     for (const {retryBudget} of this.memories.values()) {
-      retryBudget.recordOwnership(now);
+      retryBudget.recordRanks(now);
     }
     for (const [service, queue] of this.queues) {
       if (this.isOwner(service)) continue;
@@ -212,6 +212,7 @@
       service,
       retriesLeft: roundRetries(retryBudget.counts.retriesLeft),
       isOwner: this.isOwner(service),
+      rank: this.members.rankedFor(service).indexOf(this.members.localId),
       reachedPart: this.members.reachedPart(),
     });
     return queue;
@@ -250,7 +251,7 @@
       retryBudget: new RetryBudget(this.retryBudgetBounds, {
         reachedPart: members.reachedPart,
         memberCount: members.memberCount,
-        isOwner: () => this.isOwner(service),
+        rank: () => members.rankedFor(service).indexOf(members.localId),
       }),
     };
     this.memories.set(service, memory);
--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -149,6 +149,12 @@
  */
 export const LENT_EXTRA_SHARE = 0.15;
 
+/**
+ * Share of the retry budget's fixed part that dispatchers gather from requests, one
+ * retry each, which few entries use because these can't reach the first one.
+ */
+export const STANDBY_EXTRA_SHARE = 0.05;
+
 /** Share of the retry budget's ratio in use; allows for differing counts. */
 export const RETRY_RATIO_SHARE = 0.9;
 
--- a/packages/scheduling/src/dispatch_queue.ts
+++ b/packages/scheduling/src/dispatch_queue.ts
@@ -294,6 +294,7 @@
   private recordContact(entryId: string, now: number): void {
     this.entryMonitor.recordContact(entryId, now);
     this.options.brittleGuard.recordContact(entryId, now);
+    this.options.retryBudget.recordContact(entryId, now);
   }
 
   /** Counts a request in the retry budget; returns whether it may be queued. */
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -1,9 +1,13 @@
+import {LRUCache} from 'lru-cache';
 import {
   LENT_EXTRA_SHARE,
+  MAX_QUEUE_ENTRIES,
   MEMBERS_EXTRA_SHARE,
   OPENING_RETRIES,
+  QUEUE_CONTACT_MS,
   RETRY_EXTRA_SHARE,
   RETRY_RATIO_SHARE,
+  STANDBY_EXTRA_SHARE,
 } from './constants.js';
 
 /** Limit on retries over any time window of the given length. */
@@ -22,14 +26,17 @@
   readonly reachedPart: () => number;
   /** Number of all members, which lend equal parts to new owners. */
   readonly memberCount: () => number;
-  /** Whether it is the owner by its own list; others may ask it all the same. */
-  readonly isOwner: () => boolean;
+  /**
+   * Its rank for the queue among all members, suspected ones too; 0 for the first,
+   * and -1 for one that leaves.
+   */
+  readonly rank: () => number;
 }
 
 const SOLE_OWNER: BudgetOwner = {
   reachedPart: () => 1,
   memberCount: () => 1,
-  isOwner: () => true,
+  rank: () => 0,
 };
 
 /** What a retry budget holds, and what it decided since it exists. */
@@ -48,12 +55,20 @@
  * can spend more than a full bucket and what its own requests add. It opens almost
  * empty, as others may have spent theirs just before. What entries lend to it adds
  * up to a fixed share, as each entry lends to one owner in a window.
+ *
+ * Members that suspect different ones ask several owners at once. Only the one that
+ * ranks first has the fixed part, as the others can't tell whether it is in use.
  */
 export class RetryBudget {
   private tokens: number;
   private filledAtMs: number | null = null;
-  /** Whether it was the owner's when it was last filled. */
-  private wasOwned = false;
+  /** Whether its owner ranked first when it was opened. */
+  private wasFirst = false;
+  /** Time of the last message of each entry that uses it. */
+  private readonly contactMs = new LRUCache<string, number>({
+    max: MAX_QUEUE_ENTRIES,
+  });
+  private lastContactMs = -Infinity;
   private readonly count = {
     requestsCounted: 0,
     retriesGranted: 0,
@@ -81,13 +96,20 @@
   /** Opens the budget anew, with few of the tokens that are left. */
   open(nowMs: number): void {
     this.filledAtMs = nowMs;
-    this.wasOwned = this.owner.isOwner();
+    this.wasFirst = this.isFirst;
     this.tokens = Math.min(this.tokens, OPENING_RETRIES);
   }
 
-  /** Opens the budget anew if another member has owned it meanwhile. */
-  recordOwnership(nowMs: number): void {
-    if (this.owner.isOwner() !== this.wasOwned) this.open(nowMs);
+  /** Opens the budget anew if another member has come to rank first. */
+  recordRanks(nowMs: number): void {
+    if (this.isFirst !== this.wasFirst) this.open(nowMs);
+  }
+
+  /** Records a message from an entry that uses the queue. */
+  recordContact(entryId: string, nowMs: number): void {
+    this.lastContactMs = nowMs;
+    this.tokens = Math.min(this.tokens, this.capacity);
+    this.contactMs.set(entryId, nowMs);
   }
 
   /** Adds what an entry lends that had another owner before, or none. */
@@ -124,8 +146,7 @@
   private refill(nowMs: number): void {
     const passedMs = nowMs - (this.filledAtMs ?? nowMs);
     this.filledAtMs = nowMs;
-    // An owner that is asked by mistake has only what its entries bring.
-    if (!this.owner.isOwner()) return;
+    if (!this.isFirst) return;
     const perMs = this.fixedPart / (2 * this.bounds.windowMs);
     this.tokens = Math.min(this.capacity, this.tokens + passedMs * perMs);
   }
@@ -143,7 +164,29 @@
     return this.bounds.extra * share;
   }
 
+  private get isFirst(): boolean {
+    return this.owner.rank() === 0;
+  }
+
   private get capacity(): number {
-    return Math.max(1, this.owner.isOwner() ? this.fixedPart : this.loan);
+    if (this.isFirst) return Math.max(1, this.fixedPart);
+    const lent = this.loan * this.userCount;
+    return this.isStandby ? Math.max(1, lent) : lent;
+  }
+
+  /**
+   * Whether it may gather a whole retry from its requests however few entries use
+   * it; if all members could, they would together exceed the limit.
+   */
+  private get isStandby(): boolean {
+    const count = Math.floor(this.bounds.extra * STANDBY_EXTRA_SHARE);
+    const rank = this.owner.rank();
+    return rank > 0 && rank <= Math.max(1, count);
+  }
+
+  /** Number of entries that ask no other owner, as their messages are recent. */
+  private get userCount(): number {
+    const sinceMs = this.lastContactMs - QUEUE_CONTACT_MS;
+    return [...this.contactMs.values()].filter(at => at >= sinceMs).length;
   }
 }
