--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -10,6 +10,7 @@
   MAX_REQUEST_ID_LENGTH,
   NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
+import {ResponseCutError} from './early_close.js';
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
@@ -39,6 +40,7 @@
   private readonly idleListeners: Array<() => void> = [];
   /** Response to the latest request of each connection. */
   private readonly lastResponses = new WeakMap<Socket, ServerResponse>();
+  private readonly runs = new WeakMap<ServerResponse, RequestRun>();
   /** Whether responses close their connection, so that callers reconnect. */
   isDraining = false;
   private readonly chunkPacer = new ChunkPacer();
@@ -57,6 +59,11 @@
     return this.openResponses.countByState();
   }
 
+  /** Whether a request has been sent to an upstream. */
+  isPassedOn(res: ServerResponse): boolean {
+    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
+  }
+
   /** Resolves once no request is open and all responses have been sent. */
   whenIdle(): Promise<void> {
     if (this.isIdle) return Promise.resolve();
@@ -116,6 +123,7 @@
         timer,
       };
       run = new RequestRun(this.gateway, openRequest);
+      this.runs.set(res, run);
       await run.run();
     } catch (e) {
       refusal = this.refuse(req, res, head, e, timer.hasCallerLeft);
@@ -247,7 +255,7 @@
     if (res.headersSent) {
       // Only a cut connection keeps every caller from taking the part that was
       // sent for a complete response.
-      res.destroy();
+      res.destroy(new ResponseCutError());
       const {reason} = refusal;
       this.gateway.log.warn('response_cut', {id: head?.requestId, reason});
       return refusal;
@@ -280,7 +288,7 @@
       return;
     }
     this.gateway.metrics.recordUnruly('body_unwanted');
-    headers.push('Connection', 'close');
+    res.shouldKeepAlive = false;
     res.writeHead(status, headers);
     res.write(body);
     discardRest(req, this.chunkPacer, () => res.end());
