A daemon that shuts down waits until callers have their responses

Callers of the daemon, which the platform does not run, saw the same as those of the gateway: a response that was complete before the shutdown broke off when a caller read slowly. Cause: as in the gateway, a request counted as ended when its response was handed to Node.js; server.close() and closeIdleConnections() then closed its connection.

Ruled out: nothing else; the same two lines of Node.js.

The shutdown as a whole was not played with a slow caller.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -204,7 +204,7 @@
     await sleep(balancerGraceMs, signal);
     this.entry.listener.stopAccepting();
     const drainEndAtMs = this.context.clock.monotonicMs() + limitMs;
-    while (this.openRequests.size > 0 && !signal.aborted) {
+    while (this.entry.openCount > 0 && !signal.aborted) {
       if (this.context.clock.monotonicMs() >= drainEndAtMs) {
         this.openRequests.abortAll(REFUSAL_REASON.SHUTTING_DOWN);
         break;
@@ -212,7 +212,7 @@
       await sleep(SHUTDOWN_POLL_INTERVAL_MS, signal);
     }
     await sleep(SHUTDOWN_POLL_INTERVAL_MS, signal);
-    this.log.info('left', {open: this.openRequests.size});
+    this.log.info('left', {open: this.entry.openCount});
     this.close();
   }
 
--- a/packages/daemon/src/entry_server.ts
+++ b/packages/daemon/src/entry_server.ts
@@ -88,6 +88,12 @@
     );
   }
 
+  /** Number of requests that run, or whose responses have not been sent. */
+  get openCount(): number {
+    const {openRequests} = this.options;
+    return Math.max(openRequests.size, this.listener.openResponseCount);
+  }
+
   private async handle(
     req: IncomingMessage,
     res: ServerResponse,
