Refuse what can't be served in the bytes of before

odd_entries.test.ts expects of a path that the parser rejects exactly what Node.js writes: "expected 'HTTP/1.1 400 Bad Request\r\nContent-L…' to be 'HTTP/1.1 400 Bad Request\r\nConnectio…'". The gate's last response had a Content-Length besides; it now has the bytes of Node.js, which a caller takes for complete as the connection ends. A dropped request is no longer taken for one whose body is still read.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -61,9 +61,11 @@
 
 /**
  * Bounds the requests that callers send ahead on a connection without taking
- * the answers. Requests behind a response that may be cut off wait for its end. What is not read stays in the socket, so that the caller has to
+ * the answers. What is not read stays in the socket, so that the caller has to
  * wait. A connection that is read further than the limits is closed after the
- * responses to the requests that are being served.
+ * responses to the requests that are being served. Requests whose responses could
+ * be lost with the connection are not served: those behind a response that closes
+ * it, and, until its end, those behind one that may be cut off.
  */
 export class PipelineGate {
   private readonly pipelines = new Map<Socket, Pipeline>();
@@ -224,6 +226,7 @@
   }
 
   private forgetWaiting(pipeline: Pipeline): void {
+    if (pipeline.waiting.length > 0) pipeline.incomplete = null;
     this.waitingCount -= pipeline.waiting.length;
     pipeline.waiting = [];
   }
--- a/packages/gateway/src/unservable_input.ts
+++ b/packages/gateway/src/unservable_input.ts
@@ -48,13 +48,10 @@
   });
 }
 
+/** The response that Node.js would send. */
 function lastResponse(status: number): string {
-  const lines = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status]}`,
-    'Content-Length: 0',
-    'Connection: close',
-  ];
-  return `${lines.join('\r\n')}\r\n\r\n`;
+  const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
+  return `${line}\r\nConnection: close\r\n\r\n`;
 }
 
 /** Refuses HTTP/1.1 requests without a host; the others are served. */
