The divided fleet's test says whether a request is asked for again

retry_budget_partitions.test.ts was written before isAskedAgain came; tsc of the tests names the field that is missing. It is false there, as each request of the test is asked for once.

--- a/packages/gateway/src/retry_budget_partitions.test.ts
+++ b/packages/gateway/src/retry_budget_partitions.test.ts
@@ -146,6 +146,7 @@
       patienceLeftMs: 4_000,
       timeLeftMs: null,
       isRepeatable: true,
+      isAskedAgain: false,
       excluded: [],
       avoidedZones: [],
       requiredVersion: null,
