Pass nothing on behind an HTTP/1.0 response without a length

Cause: Node.js ends an HTTP/1.0 connection after a response without a length, such as that to a HEAD. It says so in the head that it writes, but leaves shouldKeepAlive as it was, by which the gate tells that nothing can follow. Those behind it are often served before that head is known in any case.

Evidence: "serves nothing behind an HTTP/1.0 response without a length" failed: "expected [ 2, 1, +0 ] to deeply equal [ 1, 1, 1 ]".

Ruled out: the same with HTTP/1.1, for HEAD and 204, and with a request that says "Connection: close": all that began was answered.

Change: the gate has requests wait behind any of HTTP/1.0, as behind a stream. Whether they can be served is known once its response has ended.

--- a/packages/gateway/src/pipeline_gate.test.ts
+++ b/packages/gateway/src/pipeline_gate.test.ts
@@ -97,6 +97,15 @@
     expect([started, answered(), unserved]).toEqual([2, 2, 1]);
   });
 
+  it('serves nothing behind an HTTP/1.0 response without a length', async () => {
+    const head = 'HEAD / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n';
+    client.write(head.repeat(2));
+    await until(() => started > 0);
+    for (const res of open) res.end();
+    await once(client, 'close');
+    expect([started, answered(), unserved]).toEqual([1, 1, 1]);
+  });
+
   it('serves nothing that is read while the connection is being closed', async () => {
     client.write(REQUEST);
     await until(() => started === 1);
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -24,7 +24,7 @@
 /** The requests of one connection. */
 interface Pipeline {
   readonly served: Set<ServerResponse>;
-  /** The response being served that may be cut off, and the connection with it. */
+  /** The response being served after which the connection may end. */
   uncertain: ServerResponse | null;
   waiting: Exchange[];
   /** The latest request, as long as its body is not complete. */
@@ -61,9 +61,10 @@
 
 /**
  * Bounds the requests that callers send ahead on a connection without taking
- * the answers. Requests behind a response that may be cut off wait for its end. What is not read stays in the socket, so that the caller has to
- * wait. A connection that is read further than the limits is closed after the
- * responses to the requests that are being served.
+ * the answers. Requests behind a response that may end the connection wait for its
+ * end. What is not read stays in the socket, so that the caller has to wait. A
+ * connection that is read further than the limits is closed after the responses to
+ * the requests that are being served.
  */
 export class PipelineGate {
   private readonly pipelines = new Map<Socket, Pipeline>();
@@ -147,7 +148,7 @@
 
   private start(pipeline: Pipeline, {req, res, readAtMs}: Exchange): void {
     pipeline.served.add(res);
-    if (this.mayBeCut(req)) pipeline.uncertain = res;
+    if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
     res.once('finish', () => this.handleEnd(pipeline, req.socket, res));
     this.serve(req, res, performance.now() - readAtMs);
   }
@@ -244,6 +245,11 @@
   return headers.upgrade !== undefined;
 }
 
+/** Whether only the end of the connection may tell that of the response. */
+function isHttp10({httpVersion}: IncomingMessage): boolean {
+  return httpVersion === '1.0';
+}
+
 function closeIfDone(socket: Socket, pipeline: Pipeline): void {
   const {lastBytes} = pipeline;
   if (sizeOf(pipeline) > 0) return;
