--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -24,7 +24,7 @@
 /** The requests of one connection. */
 interface Pipeline {
   readonly served: Set<ServerResponse>;
-  /** The response being served that may be cut off, and the connection with it. */
+  /** The response being served after which the connection may end. */
   uncertain: ServerResponse | null;
   waiting: Exchange[];
   /** The latest request, as long as its body is not complete. */
@@ -65,7 +65,7 @@
  * wait. A connection that is read further than the limits is closed after the
  * responses to the requests that are being served. Requests whose responses could
  * be lost with the connection are not served: those behind a response that closes
- * it, and, until its end, those behind one that may be cut off.
+ * it, and, until its end, those behind one that may end the connection.
  */
 export class PipelineGate {
   private readonly pipelines = new Map<Socket, Pipeline>();
@@ -149,7 +149,7 @@
 
   private start(pipeline: Pipeline, {req, res, readAtMs}: Exchange): void {
     pipeline.served.add(res);
-    if (this.mayBeCut(req)) pipeline.uncertain = res;
+    if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
     res.once('finish', () => this.handleEnd(pipeline, req.socket, res));
     this.serve(req, res, performance.now() - readAtMs);
   }
@@ -247,6 +247,11 @@
   return headers.upgrade !== undefined;
 }
 
+/** Whether only the end of the connection may tell that of the response. */
+function isHttp10({httpVersion}: IncomingMessage): boolean {
+  return httpVersion === '1.0';
+}
+
 function closeIfDone(socket: Socket, pipeline: Pipeline): void {
   const {lastBytes} = pipeline;
   if (sizeOf(pipeline) > 0) return;
