Keep a retry budget through a short stall and when its owner comes first

Cause: the budget opened almost empty whenever the queue was rebuilt, also if nobody else could have ranked first meanwhile. The same reset followed each change of rank.

Change: a member that ranks first, and did before, goes on with its budget unless it stood still for 3 s or more, less than the list needs to drop it (its lease of 6 s, renewed every 2 s). One that comes to rank first keeps its tokens, which can only be lent ones. Run reports are taken after the rebuild that a stall asks for.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -110,6 +110,13 @@
  */
 export const MAX_QUEUE_TICK_GAP_MS = 600;
 
+/**
+ * Longest such gap in milliseconds after which a member goes on with its retry
+ * budgets: after a longer one, others may have dropped it from their lists and
+ * taken its place.
+ */
+export const MAX_KEPT_BUDGET_GAP_MS = 3_000;
+
 /**
  * Silence in milliseconds after which a member is pinged while requests wait
  * for it; also the interval of that check.
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -22,7 +22,11 @@
   UpstreamPauses,
   UpstreamRateLimiter,
 } from '@fescuespool/scheduling';
-import {MAX_QUEUE_TICK_GAP_MS, QUEUE_TICK_INTERVAL_MS} from './constants.js';
+import {
+  MAX_KEPT_BUDGET_GAP_MS,
+  MAX_QUEUE_TICK_GAP_MS,
+  QUEUE_TICK_INTERVAL_MS,
+} from './constants.js';
 import type {RunReport} from './messages.js';
 
 /** Registered upstreams, keyed by service name. */
@@ -133,6 +137,7 @@
     for (const {leftMs, ...life} of pauses) {
       this.pauses.record(entryId, {...life, untilMs: now + leftMs}, now);
     }
+    this.rebuildAfterStall();
     this.queueFor(service).reconcile(entryId, runs);
   }
 
@@ -268,11 +273,14 @@
    * MAX_QUEUE_TICK_GAP_MS: the entries have moved to another member meanwhile.
    */
   private rebuildAfterStall(): void {
-    if (this.queues.size === 0) return;
     const now = this.clock.monotonicMs();
     const gapMs = now - this.lastTickMs;
     this.lastTickMs = now;
-    if (gapMs < MAX_QUEUE_TICK_GAP_MS) return;
+    if (gapMs >= MAX_KEPT_BUDGET_GAP_MS) {
+      for (const {retryBudget} of this.memories.values())
+        retryBudget.reset(now);
+    }
+    if (gapMs < MAX_QUEUE_TICK_GAP_MS || this.queues.size === 0) return;
     this.log.warn('queues_rebuilt', {gapMs: Math.round(gapMs)});
     for (const queue of this.queues.values()) queue.close();
     this.queues.clear();
--- a/packages/scheduling/src/retry_budget.ts
+++ b/packages/scheduling/src/retry_budget.ts
@@ -93,16 +93,24 @@
     this.tokens = Math.min(this.tokens, this.capacity);
   }
 
-  /** Opens the budget anew, with few of the tokens that are left. */
+  /** Opens the budget for a queue; only a first member's goes on as it was. */
   open(nowMs: number): void {
-    this.filledAtMs = nowMs;
-    this.wasFirst = this.isFirst;
+    if (this.isFirst && this.wasFirst) return;
+    this.reset(nowMs);
+  }
+
+  /** Discards all but a few of the tokens that are left. */
+  reset(nowMs: number): void {
+    this.recordRank(nowMs);
     this.tokens = Math.min(this.tokens, OPENING_RETRIES);
   }
 
-  /** Opens the budget anew if another member has come to rank first. */
+  /** Adapts the budget if another member has come to rank first. */
   recordRanks(nowMs: number): void {
-    if (this.isFirst !== this.wasFirst) this.open(nowMs);
+    if (this.isFirst === this.wasFirst) return;
+    // A member that comes to rank first holds only what entries lent to it.
+    if (this.isFirst) this.recordRank(nowMs);
+    else this.reset(nowMs);
   }
 
   /** Records a message from an entry that uses the queue. */
@@ -142,6 +150,11 @@
     this.tokens = Math.min(this.capacity, this.tokens + 1);
   }
 
+  private recordRank(nowMs: number): void {
+    this.filledAtMs = nowMs;
+    this.wasFirst = this.isFirst;
+  }
+
   /** Refills the fixed part over two windows, half of it in each. */
   private refill(nowMs: number): void {
     const passedMs = nowMs - (this.filledAtMs ?? nowMs);
