Let the gate keep the socket of a request that was destroyed

What operators saw: nothing but an uncaught_exception in the log, after a question to /where that is too long.

Cause: the reader of its body gives the request up, which destroys it; Node.js then unsets its socket, and the gate asked for it at the end of the response. Since the gate looks at the socket there whether it is ending, it threw.

Change: the gate goes by the socket on which the request came.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -97,7 +97,7 @@
     pipeline.incomplete = exchange;
     if (isUpgrade(req)) res.shouldKeepAlive = false;
     if (mayStart(pipeline)) {
-      this.start(pipeline, exchange);
+      this.start(socket, pipeline, exchange);
       return;
     }
     // Node.js resumes the socket at the end of each request of a read.
@@ -147,10 +147,15 @@
     return pipeline;
   }
 
-  private start(pipeline: Pipeline, {req, res, readAtMs}: Exchange): void {
+  private start(
+    socket: Socket,
+    pipeline: Pipeline,
+    {req, res, readAtMs}: Exchange,
+  ): void {
     pipeline.served.add(res);
     if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
-    res.once('finish', () => this.handleEnd(pipeline, req.socket, res));
+    // A request that was destroyed has no socket any more.
+    res.once('finish', () => this.handleEnd(pipeline, socket, res));
     this.serve(req, res, performance.now() - readAtMs);
   }
 
@@ -161,7 +166,7 @@
       const next = pipeline.waiting.shift();
       if (!next) return;
       this.waitingCount--;
-      this.start(pipeline, next);
+      this.start(socket, pipeline, next);
     }
   }
 
