--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -79,8 +79,9 @@
   /** Whether the response to a request may be cut off after it has begun. */
   mayBeCut({headers, url}: IncomingMessage): boolean {
     const {routes} = this.gateway.configState;
-    const route = routes?.find(headers.host ?? '', url ?? '');
-    return !routes || (route && isStream(route)) === true;
+    if (!routes) return true;
+    const route = routes.find(headers.host ?? '', url ?? '');
+    return route !== null && isStream(route);
   }
 
   /**
