--- a/packages/gateway/src/dispatcher.test.ts
+++ b/packages/gateway/src/dispatcher.test.ts
@@ -4,6 +4,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {Dispatcher} from './dispatcher.js';
 import {MemberDirectory} from './member_directory.js';
+import {GRANT_REQUEST} from './test_support/dispatch_fixtures.js';
 
 const SERVICE = 'app';
 const MEMBER_COUNT = 6;
@@ -59,28 +60,10 @@
   };
   let requestCount = 0;
   const retry = (entryId: string): GrantRequest => ({
+    ...GRANT_REQUEST,
     requestId: `r-${++requestCount}`,
     entryId,
-    zone: 'a',
-    tier: 1,
-    fingerprint: '',
-    promptTokens: 0,
-    objectiveLeftMs: 1_000,
-    patienceLeftMs: 4_000,
-    timeLeftMs: null,
-    isRepeatable: true,
     isRetry: true,
-    isAskedAgain: false,
-    lendsRetries: false,
-    excluded: [],
-    avoidedZones: [],
-    requiredVersion: null,
-    route: null,
-    account: null,
-    accountQuotaPerS: null,
-    outputTokens: null,
-    maxEventGapMs: null,
-    promptParts: [],
   });
   const grantedRetries = async (dispatcher: Dispatcher): Promise<number> => {
     const answers = await Promise.all(
--- a/packages/gateway/src/moved_requests.test.ts
+++ b/packages/gateway/src/moved_requests.test.ts
@@ -8,6 +8,7 @@
 import {MemberDirectory} from './member_directory.js';
 import {PeerMonitor} from './peer_monitor.js';
 import {RetryLoans} from './retry_loans.js';
+import {GRANT_REQUEST, SILENT_LOG} from './test_support/dispatch_fixtures.js';
 import {UpstreamRegistry} from './upstream_registry.js';
 
 const SERVICE = 'app';
@@ -28,37 +29,15 @@
   startedAtUnixMs: 1,
   softwareVersion: null,
 };
-const log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
 
 function grantRequest(requestId: string): GrantRequest {
   return {
+    ...GRANT_REQUEST,
     requestId,
     entryId: MEMBER.id,
-    zone: 'a',
-    tier: 1,
     fingerprint: requestId,
-    promptTokens: 0,
     objectiveLeftMs: 4_000,
     patienceLeftMs: 8_000,
-    timeLeftMs: null,
-    isRepeatable: true,
-    isRetry: false,
-    isAskedAgain: false,
-    lendsRetries: false,
-    excluded: [],
-    avoidedZones: [],
-    requiredVersion: null,
-    route: null,
-    account: null,
-    accountQuotaPerS: null,
-    outputTokens: null,
-    maxEventGapMs: null,
-    promptParts: [],
   };
 }
 
@@ -70,12 +49,12 @@
   it('adds to the retry budget once', async () => {
     const members = new MemberDirectory(MEMBER);
     const network = new PeerNetwork({host: '127.0.0.1', port: 1});
-    const monitor = new PeerMonitor(SYSTEM_CLOCK, log, members, network);
+    const monitor = new PeerMonitor(SYSTEM_CLOCK, SILENT_LOG, members, network);
     const limits = new UpstreamLimits();
     let isOwner = true;
     const dispatcher = new Dispatcher(
       SYSTEM_CLOCK,
-      log,
+      SILENT_LOG,
       BOUNDS,
       limits,
       () => isOwner,
@@ -87,7 +66,7 @@
     registry.replace(upstreams, 0);
     const client = new DispatchClient(
       SYSTEM_CLOCK,
-      log,
+      SILENT_LOG,
       members,
       network,
       monitor,
--- a/packages/gateway/src/retry_budget_owners.test.ts
+++ b/packages/gateway/src/retry_budget_owners.test.ts
@@ -1,11 +1,16 @@
 import {rankMembers} from '@fescuespool/coordination';
-import type {GrantRequest, UpstreamSpec} from '@fescuespool/scheduling';
+import type {GrantRequest} from '@fescuespool/scheduling';
 import {LENT_EXTRA_SHARE, UpstreamLimits} from '@fescuespool/scheduling';
 import fc from 'fast-check';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {Dispatcher} from './dispatcher.js';
 import {MemberDirectory} from './member_directory.js';
 import {RetryLoans} from './retry_loans.js';
+import {
+  GRANT_REQUEST,
+  ROOMY_UPSTREAM,
+  SILENT_LOG,
+} from './test_support/dispatch_fixtures.js';
 
 const SERVICE = 'app';
 const MEMBER_COUNT = 4;
@@ -14,15 +19,6 @@
 /** Shortest time for which a process runs, and for which it is down. */
 const MIN_LIFE_MS = 2_000;
 const MAX_SUSPICION_MS = 2_000;
-const UPSTREAM: UpstreamSpec = {
-  instanceId: 'u',
-  address: '10.0.0.1:80',
-  zone: 'a',
-  slots: 1_000_000,
-  isLeaving: false,
-  startedAtUnixMs: 1,
-  softwareVersion: null,
-};
 const MEMBERS = Array.from({length: MEMBER_COUNT}, (_, i) => ({
   id: `m-${i}`,
   zone: 'a',
@@ -30,12 +26,6 @@
   isLeaving: false,
   tunnelAddress: null,
 }));
-const log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
 
 /** One life of a member's process. */
 class MemberProcess {
@@ -52,14 +42,14 @@
     const monotonicMs = (): number => this.frozenAtMs ?? performance.now();
     this.dispatcher = new Dispatcher(
       {monotonicMs, wallMs: () => 0},
-      log,
+      SILENT_LOG,
       BOUNDS,
       new UpstreamLimits(),
       service => this.directory.isOwnerOf(service),
       this.directory.queueMembers,
     );
     this.directory.onChange(() => this.dispatcher.handOverQueues());
-    this.dispatcher.setUpstreams(new Map([[SERVICE, [UPSTREAM]]]));
+    this.dispatcher.setUpstreams(new Map([[SERVICE, [ROOMY_UPSTREAM]]]));
   }
 
   get answers(): boolean {
@@ -168,28 +158,10 @@
 
   private request(entry: number, isRetry: boolean): GrantRequest {
     return {
+      ...GRANT_REQUEST,
       requestId: `r-${++this.idCount}`,
       entryId: MEMBERS[entry]!.id,
-      zone: 'a',
-      tier: 1,
-      fingerprint: '',
-      promptTokens: 0,
-      objectiveLeftMs: 1_000,
-      patienceLeftMs: 4_000,
-      timeLeftMs: null,
-      isRepeatable: true,
       isRetry,
-      isAskedAgain: false,
-      lendsRetries: false,
-      excluded: [],
-      avoidedZones: [],
-      requiredVersion: null,
-      route: null,
-      account: null,
-      accountQuotaPerS: null,
-      outputTokens: null,
-      maxEventGapMs: null,
-      promptParts: [],
     };
   }
 }
--- a/packages/gateway/src/retry_budget_partitions.test.ts
+++ b/packages/gateway/src/retry_budget_partitions.test.ts
@@ -1,11 +1,16 @@
 import {rankMembers} from '@fescuespool/coordination';
-import type {GrantRequest, UpstreamSpec} from '@fescuespool/scheduling';
+import type {GrantRequest} from '@fescuespool/scheduling';
 import {RUN_END, UpstreamLimits} from '@fescuespool/scheduling';
 import fc from 'fast-check';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {Dispatcher} from './dispatcher.js';
 import {MemberDirectory} from './member_directory.js';
 import {RetryLoans} from './retry_loans.js';
+import {
+  GRANT_REQUEST,
+  ROOMY_UPSTREAM,
+  SILENT_LOG,
+} from './test_support/dispatch_fixtures.js';
 import type {GatewayMember} from './types.js';
 
 const SERVICE = 'app';
@@ -14,27 +19,12 @@
 const STEP_MS = 250;
 /** Time in milliseconds in which an entry's requests add a whole retry. */
 const EARN_MS = 2_000;
-const UPSTREAM: UpstreamSpec = {
-  instanceId: 'u',
-  address: '10.0.0.1:80',
-  zone: 'a',
-  slots: 1_000_000,
-  isLeaving: false,
-  startedAtUnixMs: 1,
-  softwareVersion: null,
-};
 const COMPLETED_RUN = {
   end: RUN_END.COMPLETED,
   runMs: 20,
   eventGapMs: null,
   load: null,
 } as const;
-const log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
 
 /** Members in the order of their rank for the service. */
 function rankedMembers(count: number): GatewayMember[] {
@@ -69,14 +59,14 @@
       directory.setMembers(this.members);
       const dispatcher = new Dispatcher(
         {monotonicMs: () => performance.now(), wallMs: () => 0},
-        log,
+        SILENT_LOG,
         BOUNDS,
         new UpstreamLimits(),
         service => directory.isOwnerOf(service),
         directory.queueMembers,
       );
       directory.onChange(() => dispatcher.handOverQueues());
-      dispatcher.setUpstreams(new Map([[SERVICE, [UPSTREAM]]]));
+      dispatcher.setUpstreams(new Map([[SERVICE, [ROOMY_UPSTREAM]]]));
       return {
         directory,
         dispatcher,
@@ -136,26 +126,9 @@
     changes: {isRetry: boolean; lendsRetries: boolean},
   ): GrantRequest {
     return {
+      ...GRANT_REQUEST,
       requestId: `r-${++this.idCount}`,
       entryId: this.members[entry]!.id,
-      zone: 'a',
-      tier: 1,
-      fingerprint: '',
-      promptTokens: 0,
-      objectiveLeftMs: 1_000,
-      patienceLeftMs: 4_000,
-      timeLeftMs: null,
-      isRepeatable: true,
-      isAskedAgain: false,
-      excluded: [],
-      avoidedZones: [],
-      requiredVersion: null,
-      route: null,
-      account: null,
-      accountQuotaPerS: null,
-      outputTokens: null,
-      maxEventGapMs: null,
-      promptParts: [],
       ...changes,
     };
   }
--- a/packages/gateway/src/retry_budget_stalls.test.ts
+++ b/packages/gateway/src/retry_budget_stalls.test.ts
@@ -1,11 +1,15 @@
 import {rankMembers} from '@fescuespool/coordination';
-import type {GrantRequest} from '@fescuespool/scheduling';
 import {LENT_EXTRA_SHARE, UpstreamLimits} from '@fescuespool/scheduling';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {MAX_QUEUE_TICK_GAP_MS} from './constants.js';
 import {Dispatcher} from './dispatcher.js';
 import {MemberDirectory} from './member_directory.js';
 import {RetryLoans} from './retry_loans.js';
+import {
+  GRANT_REQUEST,
+  ROOMY_UPSTREAM,
+  SILENT_LOG,
+} from './test_support/dispatch_fixtures.js';
 
 const SERVICE = 'app';
 const BOUNDS = {ratio: 0.2, extra: 56, windowMs: 10_000};
@@ -18,42 +22,6 @@
   tunnelAddress: null,
 }));
 const [FIRST, SECOND] = rankMembers(IDS, SERVICE) as [string, string];
-const UPSTREAM = {
-  instanceId: 'u',
-  address: '10.0.0.1:80',
-  zone: 'a',
-  slots: 1_000_000,
-  isLeaving: false,
-  startedAtUnixMs: 1,
-  softwareVersion: null,
-};
-const REQUEST: GrantRequest = {
-  requestId: '',
-  entryId: '',
-  zone: 'a',
-  tier: 1,
-  fingerprint: '',
-  promptTokens: 0,
-  objectiveLeftMs: 1_000,
-  patienceLeftMs: 4_000,
-  timeLeftMs: null,
-  isRepeatable: true,
-  isRetry: true,
-  isAskedAgain: false,
-  lendsRetries: false,
-  excluded: [],
-  avoidedZones: [],
-  requiredVersion: null,
-  route: null,
-  account: null,
-  accountQuotaPerS: null,
-  outputTokens: null,
-  maxEventGapMs: null,
-  promptParts: [],
-};
-const ignore = (): void => undefined;
-const log = {debug: ignore, info: ignore, warn: ignore, error: ignore};
-
 describe('the retry budget of a queue', () => {
   let nowMs: number;
   let idCount: number;
@@ -69,14 +37,14 @@
     directory.setMembers(MEMBERS);
     const dispatcher = new Dispatcher(
       {monotonicMs: () => nowMs, wallMs: () => 0},
-      log,
+      SILENT_LOG,
       BOUNDS,
       new UpstreamLimits(),
       service => directory.isOwnerOf(service),
       directory.queueMembers,
     );
     directory.onChange(() => dispatcher.handOverQueues());
-    dispatcher.setUpstreams(new Map([[SERVICE, [UPSTREAM]]]));
+    dispatcher.setUpstreams(new Map([[SERVICE, [ROOMY_UPSTREAM]]]));
     return [directory, dispatcher];
   };
 
@@ -90,7 +58,8 @@
     let granted = 0;
     for (let i = 0; i < count; i++) {
       const request = {
-        ...REQUEST,
+        ...GRANT_REQUEST,
+        isRetry: true,
         requestId: `r-${idCount++}`,
         entryId,
         lendsRetries: lendsRetries && i === 0,
