Count the connection of a destroyed request as idle after its response

Cause: the limit asks the request for its socket at the end of the response.

Evidence: "takes a connection for idle after the response to a destroyed request" failed before: expected [ false, true, false ] to deeply equal [ true, false, false ].

--- a/packages/gateway/src/connection_limit.test.ts
+++ b/packages/gateway/src/connection_limit.test.ts
@@ -10,6 +10,11 @@
 const UNFINISHED =
   'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nunfinish';
 
+/** Reads only the beginning of a body, which destroys the request. */
+async function giveUp(req: http.IncomingMessage): Promise<void> {
+  for await (const chunk of req) if (chunk) return;
+}
+
 describe('limitConnections', () => {
   const MAX_CONNECTIONS = 2;
   let server: http.Server;
@@ -20,7 +25,8 @@
     open = [];
     clients = [];
     server = http.createServer((req, res) => {
-      req.resume();
+      if (req.method === 'PUT') void giveUp(req);
+      else req.resume();
       open.push(res);
     });
     limitConnections(server, MAX_CONNECTIONS, true, () => undefined);
@@ -70,6 +76,20 @@
     expect(closed()).toEqual([false, false, true]);
   });
 
+  it('takes a connection for idle after the response to a destroyed request', async () => {
+    await connect(REQUEST, 1);
+    await connect(UNFINISHED.replace('POST', 'PUT'), 1);
+    const [first, second] = open;
+    await until(() => second!.req.destroyed);
+    for (const res of [first!, second!]) {
+      res.end();
+      await once(res, 'finish');
+    }
+    await connect(REQUEST, 1);
+    await until(() => closed().includes(true));
+    expect(closed()).toEqual([true, false, false]);
+  });
+
   it('closes one whose unfinished body is left after its responses', async () => {
     await connect(REQUEST + UNFINISHED, 2);
     await connect(REQUEST, 1);
--- a/packages/gateway/src/connection_limit.ts
+++ b/packages/gateway/src/connection_limit.ts
@@ -23,8 +23,8 @@
   const idle = new Set<Socket>();
   const openRequests = new Map<Socket, number>();
   let count = 0;
-  const endBody = (req: IncomingMessage): void => {
-    if (sending.get(req.socket) === req) sending.delete(req.socket);
+  const endBody = (socket: Socket, req: IncomingMessage): void => {
+    if (sending.get(socket) === req) sending.delete(socket);
   };
   /** The oldest connection that owes no response to a complete request. */
   const oldestSending = (): Socket | undefined => {
@@ -38,11 +38,10 @@
     idle.delete(socket);
     openRequests.set(socket, (openRequests.get(socket) ?? 0) + 1);
   };
-  const endRequest = (req: IncomingMessage): void => {
-    const {socket} = req;
+  const endRequest = (socket: Socket, req: IncomingMessage): void => {
     const left = (openRequests.get(socket) ?? 0) - 1;
     openRequests.set(socket, left);
-    endBody(req);
+    endBody(socket, req);
     if (left === 0 && !socket.destroyed) idle.add(socket);
   };
   server.on('connection', (socket: Socket) => {
@@ -67,9 +66,10 @@
     beginRequest(socket);
     if (bodiesEnd && hasBodyHeaders(req)) {
       sending.set(socket, req);
-      req.once('end', () => endBody(req));
+      req.once('end', () => endBody(socket, req));
     }
-    res.once('finish', () => endRequest(req));
+    // A request that was destroyed has no socket any more.
+    res.once('finish', () => endRequest(socket, req));
   });
   server.on('connect', (_req: IncomingMessage, stream: Duplex) =>
     beginRequest(stream as Socket),
