End the connection of a response that is cut after what was handed over

What callers saw: a stream whose first event was handed over right before it was cut reached its caller with no byte, which reads as "no answer"; a caller that reads slowly lost what waited for it; and with a request behind the stream that was not read, the cut took an earlier, complete response that the caller had not received yet.

Cause: res.destroy destroys the socket. What Node.js has not written is dropped, and where input is left unread the kernel resets the connection and drops what it still had to send.

Change: the gate ends the connection of a response that is cut in order, once what was handed over is on it and earlier responses are written: neither the last chunk nor the rest of an announced length comes, and LingeringConnections reads on for as long as after a last response (2 s). Nothing behind the cut is served. The response has ended at once for all who wait for it, so connection_closed_early is told at the cut, with its reason, and not when the caller has gone; the lingering connection holds up a stop as others do. A response that the end of its connection would complete is destroyed as before. What a caller sends beyond 256 KiB no longer closes a lingering connection at once: it is kept for 700 ms, unread, as the caller may not have received anything by then. A connection that is ended by anything else now tells its open responses so when all is written.

--- a/packages/gateway/src/early_close.ts
+++ b/packages/gateway/src/early_close.ts
@@ -35,12 +35,14 @@
 export function describeEarlyClose(
   socket: Socket,
   open: readonly ServerResponse[],
+  /** The error that cut a response; null if none was cut. */
+  cutBy: Error | null,
   isPassedOn: (res: ServerResponse) => boolean,
   isListening: boolean,
 ): EarlyClose | null {
   if (open.length === 0 || isClosedByCaller(socket)) return null;
   return {
-    reason: reasonOf(socket, isListening),
+    reason: reasonOf(cutBy, isListening),
     open: open.length,
     passedOn: open.filter(isPassedOn).length,
     unwritten: open.filter(res => res.writableEnded).length,
@@ -56,7 +58,7 @@
   return err !== null && 'syscall' in err;
 }
 
-function reasonOf({errored}: Socket, isListening: boolean): EarlyCloseReason {
-  if (errored instanceof ResponseCutError) return 'response_cut';
+function reasonOf(cutBy: Error | null, isListening: boolean): EarlyCloseReason {
+  if (cutBy instanceof ResponseCutError) return 'response_cut';
   return isListening ? 'other' : 'stopping';
 }
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -56,11 +56,12 @@
 ): http.Server {
   const events: PipelineEvents = {
     onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
-    onClosed: (socket, open, unserved) => {
+    onClosed: (socket, open, unserved, cutBy) => {
       const {listening} = server;
       const close = describeEarlyClose(
         socket,
         open,
+        cutBy,
         res => inspector.isPassedOn(res),
         listening,
       );
--- a/packages/gateway/src/lingering_connections.ts
+++ b/packages/gateway/src/lingering_connections.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
+import {destroyAfter} from './response_end.js';
 
 /** Time in milliseconds for which a connection is read after its last response. */
 const MAX_LINGER_MS = 2_000;
@@ -11,10 +12,16 @@
 const MAX_LINGER_READS = 1_024;
 
 /**
- * Connections that have been ended after their last response, and are read until
- * their callers close them. A connection that is closed before it has received
- * all that its caller sends is reset, and what the caller has not yet received
- * of the response is lost.
+ * Time in milliseconds for which a connection is kept, but not read, after that, so
+ * that its caller can take what it has not received yet.
+ */
+const UNREAD_LINGER_MS = 700;
+
+/**
+ * Connections that have been ended after their last response, or what could be sent
+ * of it, and are read until their callers close them. A connection that is closed
+ * before it has received all that its caller sends is reset, and what the caller
+ * has not yet received of its responses is lost.
  */
 export class LingeringConnections {
   private readonly sockets = new Set<Socket>();
@@ -36,11 +43,8 @@
   private end(socket: Socket): void {
     if (socket.destroyed || this.sockets.has(socket)) return;
     this.sockets.add(socket);
-    const timer = setTimeout(() => socket.destroy(), MAX_LINGER_MS);
-    socket.once('close', () => {
-      clearTimeout(timer);
-      this.remove(socket);
-    });
+    destroyAfter(socket, MAX_LINGER_MS);
+    socket.once('close', () => this.remove(socket));
     socket.end();
     // Node.js restarts a paused read in the next tick, and only while its parser
     // has the connection.
@@ -63,6 +67,8 @@
   socket.on('data', chunk => {
     size += chunk.length;
     const isTooLong = ++reads > MAX_LINGER_READS || size > MAX_LINGER_BYTES;
-    if (isTooLong) socket.destroy();
+    if (!isTooLong || socket.isPaused()) return;
+    socket.pause();
+    destroyAfter(socket, UNREAD_LINGER_MS);
   });
 }
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {endIncomplete, whenHandedOver} from './response_end.js';
 
 /** Requests of one connection that are served at a time. */
 export const MAX_SERVED_PER_CONNECTION = 16;
@@ -35,6 +36,8 @@
   lastBytes: string;
   /** Requests that were read after that, or waited then. */
   unserved: number;
+  /** Why a response that has begun ends the connection; null otherwise. */
+  cutBy: Error | null;
 }
 
 /** What a gate tells of the connections that it serves. */
@@ -42,13 +45,15 @@
   /** Called with the number of requests that are left unserved. */
   readonly onCut: (dropped: number) => void;
   /**
-   * Called when a connection is closed with the responses that are not written,
-   * and the number of requests behind the response that ended it.
+   * Called when a connection is closed, or can carry no more responses, with those
+   * that are not written, the number of requests behind the response that ended
+   * it, and the error that cut a response; null if none was cut.
    */
   readonly onClosed: (
     socket: Socket,
     open: readonly ServerResponse[],
     unserved: number,
+    cutBy: Error | null,
   ) => void;
 }
 
@@ -141,9 +146,14 @@
       isCut: false,
       lastBytes: '',
       unserved: 0,
+      cutBy: null,
     };
     this.pipelines.set(socket, pipeline);
-    socket.once('close', () => this.handleLoss(socket, pipeline));
+    socket.once('finish', () => this.handleLoss(socket, pipeline));
+    socket.once('close', () => {
+      this.pipelines.delete(socket);
+      this.handleLoss(socket, pipeline);
+    });
     return pipeline;
   }
 
@@ -154,6 +164,8 @@
   ): void {
     pipeline.served.add(res);
     if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
+    // Node.js would take with it what has been handed over and is not sent yet.
+    res.destroy = err => this.endBehind(socket, pipeline, res, err);
     // A request that was destroyed has no socket any more.
     res.once('finish', () => this.handleEnd(pipeline, socket, res));
     this.serve(req, res, performance.now() - readAtMs);
@@ -201,15 +213,40 @@
     this.forgetWaiting(pipeline);
   }
 
+  /** Ends a connection behind the part that was handed over of a response. */
+  private endBehind(
+    socket: Socket,
+    pipeline: Pipeline,
+    res: ServerResponse,
+    err: Error | undefined,
+  ): ServerResponse {
+    if (res.destroyed) return res;
+    res.destroyed = true;
+    this.dropWaiting(pipeline);
+    whenHandedOver(res, () => {
+      if (socket.destroyed) return;
+      pipeline.cutBy = err ?? null;
+      endIncomplete(socket, res);
+      if (socket.writableEnded) this.handleLoss(socket, pipeline);
+    });
+    return res;
+  }
+
   private handleLoss(socket: Socket, pipeline: Pipeline): void {
-    this.pipelines.delete(socket);
-    this.events.onClosed(socket, [...pipeline.served], pipeline.unserved);
+    const {served, unserved, cutBy} = pipeline;
+    if (served.size + unserved > 0) {
+      this.events.onClosed(socket, [...served], unserved, cutBy);
+    }
     this.dropWaiting(pipeline);
-    for (const res of pipeline.served) {
-      // Node.js tells only the first response of a connection that it is lost.
-      if (!res.socket) res.emit('close');
+    pipeline.unserved = 0;
+    for (const res of served) {
+      // Node.js tells only the first one that its connection is closed.
+      if (res.socket && socket.destroyed) continue;
+      if (res.socket) res.detachSocket(socket);
+      res.destroyed = true;
+      res.emit('close');
     }
-    pipeline.served.clear();
+    served.clear();
   }
 
   /**
