Reset a response that breaks off where the end of its connection would complete it

What callers saw: an HTTP/1.0 caller gets a stream without a length or chunks. When the stream broke off, or the gateway closed the connection, that end was an orderly one, and the part looked like a complete response.

Cause: socket.destroy resets a connection only where input is left unread; else the kernel ends it in order.

Change: the gate has whatever destroys a connection reset it while it carries part of such a response.

Ruled out: telling a caller that reads a reset as an end.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -1,6 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {endIncomplete, whenHandedOver} from './response_end.js';
+import {
+  endIncomplete,
+  resetIfIncomplete,
+  whenHandedOver,
+} from './response_end.js';
 
 /** Requests of one connection that are served at a time. */
 export const MAX_SERVED_PER_CONNECTION = 16;
@@ -164,6 +168,7 @@
   ): void {
     pipeline.served.add(res);
     if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
+    if (isHttp10(req)) resetIfIncomplete(socket, res);
     // Node.js would take with it what has been handed over and is not sent yet.
     res.destroy = err => this.endBehind(socket, pipeline, res, err);
     // A request that was destroyed has no socket any more.
