Cut a stream at its time limit also if its caller does not read

Cause: StreamRelay waits until the caller has taken what was written before it looks at the end of the upstream's response, also where that is the gateway's own abort.

Change: once the request's signal is aborted, an end that was not orderly ends the relay at once. What was handed over is then sent as after any cut. A stream that the upstream has completed still waits for its caller, as a whole response does.

--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -40,6 +40,8 @@
 export interface RelayOptions {
   readonly res: ServerResponse;
   readonly progress: StreamProgress;
+  /** Aborted when the request can't be served any more; aborts the exchange too. */
+  readonly signal: AbortSignal;
   /** Charged with the bytes of an event that is not complete. */
   readonly share: BudgetShare;
   readonly nowMs: () => number;
@@ -105,10 +107,11 @@
     });
   }
 
-  /** Notes the end; the last bytes may still wait to be forwarded. */
+  /** Notes the end; the last bytes may still wait to be forwarded, but not for ever. */
   private handleSourceEnd(isOrderly: boolean): void {
     this.endsOrderly ??= isOrderly;
-    if (!this.isWaiting) this.finishAtSourceEnd();
+    const isTooLate = !this.endsOrderly && this.options.signal.aborted;
+    if (!this.isWaiting || isTooLate) this.finishAtSourceEnd();
   }
 
   private finishAtSourceEnd(): void {
--- a/packages/gateway/src/upstream_attempt.ts
+++ b/packages/gateway/src/upstream_attempt.ts
@@ -256,6 +256,7 @@
       res,
       share,
       progress: this.progress,
+      signal: this.request.timer.signal,
       nowMs: clock.monotonicMs,
       beforeFirstEvent: () => versionTracker.shareOrigin(),
       writeHead: () => {
