End a connection over the limit in order if it may owe a response

What callers saw: a caller that had not yet received all of a response, and had sent more behind it, lost the rest when its connection was the one that the limit of connections closed for a new one.

Cause: the limit destroys a connection. With input that is left unread this resets it, and the kernel drops what it still had to send.

Change: idle connections, and those with an unfinished body, are ended as after a last response. An eighth of the limit may be ending beyond it (of 100 sockets for 300 descriptors: 6 beside 50); if more have to go, the one that has been ending for the longest is closed, so that the bound on descriptors holds while new ones keep coming. Connections that never sent a whole head are closed at once, as nothing is owed to them; tunnels are never chosen, as before. A connection that was chosen is not chosen again: before, each of several new ones that came in one pass of the event loop could choose the same one (read, not run).

--- a/packages/gateway/src/connection_limit.test.ts
+++ b/packages/gateway/src/connection_limit.test.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {limitConnections} from './connection_limit.js';
+import {LingeringConnections} from './lingering_connections.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 const UNFINISHED =
@@ -100,4 +101,38 @@
     await until(() => closed().includes(true));
     expect(closed()).toEqual([true, false, false]);
   });
+
+  it('lets a bounded number beyond the limit receive their last responses', async () => {
+    const LIMIT = 16;
+    const MAX_OPEN = LIMIT + LIMIT / 8;
+    const counts: number[] = [];
+    const answering = http.createServer((_req, res) => res.end('hello'));
+    const lingering = new LingeringConnections(answering);
+    const countOpen = (): Promise<void> =>
+      new Promise(resolve =>
+        answering.getConnections((_err, count) => {
+          counts.push(count);
+          resolve();
+        }),
+      );
+    limitConnections(answering, LIMIT, true, () => undefined);
+    answering.listen(0, '127.0.0.1');
+    await once(answering, 'listening');
+    for (let i = 0; i < 4 * LIMIT; i++) {
+      const {port} = answering.address() as AddressInfo;
+      const client = net.connect({port, allowHalfOpen: true});
+      clients.push(client.on('error', () => undefined));
+      client.write(REQUEST);
+      await once(client, 'data');
+      await countOpen();
+      expect(lingering.size).toBeLessThanOrEqual(MAX_OPEN - LIMIT);
+    }
+    await lingering.whenNone();
+    await countOpen();
+    answering.close();
+    answering.closeAllConnections();
+    expect(Math.max(...counts)).toBeGreaterThan(LIMIT);
+    expect(Math.max(...counts)).toBeLessThanOrEqual(MAX_OPEN);
+    expect(counts.at(-1)).toBe(LIMIT);
+  });
 });
--- a/packages/gateway/src/connection_limit.ts
+++ b/packages/gateway/src/connection_limit.ts
@@ -4,11 +4,15 @@
 import type {Socket} from 'node:net';
 import {hasBodyHeaders} from './open_request.js';
 
+/** Connections in excess of the limit that may be ending, as a part of it. */
+const MAX_ENDING_SHARE = 1 / 8;
+
 /**
  * Bounds the connections of a server. In place of an excess one it closes the
  * oldest that has sent no complete request head, else no complete body, else the
  * one that has been idle for the longest, so that callers that only hold
- * connections keep nobody out.
+ * connections keep nobody out. One that may have had responses is ended in order,
+ * and closed at once only when too many are ending.
  */
 export function limitConnections(
   server: http.Server,
@@ -17,12 +21,32 @@
   bodiesEnd: boolean,
   onClosed: () => void,
 ): void {
+  const open = new Set<Socket>();
   const silent = new Set<Socket>();
   /** Latest request of each connection whose body is not complete. */
   const sending = new Map<Socket, IncomingMessage>();
   const idle = new Set<Socket>();
   const openRequests = new Map<Socket, number>();
-  let count = 0;
+  /** Excess connections whose callers may still receive responses. */
+  const ending = new Set<Socket>();
+  const maxEnding = Math.max(1, Math.floor(MAX_ENDING_SHARE * maxConnections));
+  const forget = (socket: Socket): void => {
+    for (const sockets of [open, silent, sending, idle, ending]) {
+      sockets.delete(socket);
+    }
+    openRequests.delete(socket);
+  };
+  const close = (socket: Socket): void => {
+    forget(socket);
+    socket.destroy();
+  };
+  const end = (socket: Socket): void => {
+    for (const sockets of [sending, idle]) sockets.delete(socket);
+    ending.add(socket);
+    socket.destroySoon();
+    const [oldest] = ending;
+    if (oldest && ending.size > maxEnding) close(oldest);
+  };
   const endBody = (socket: Socket, req: IncomingMessage): void => {
     if (sending.get(socket) === req) sending.delete(socket);
   };
@@ -42,24 +66,21 @@
     const left = (openRequests.get(socket) ?? 0) - 1;
     openRequests.set(socket, left);
     endBody(socket, req);
-    if (left === 0 && !socket.destroyed) idle.add(socket);
+    const isIdle = left === 0 && !socket.destroyed && !ending.has(socket);
+    if (isIdle) idle.add(socket);
   };
   server.on('connection', (socket: Socket) => {
-    count++;
-    socket.once('close', () => {
-      count--;
-      for (const sockets of [silent, sending, idle]) sockets.delete(socket);
-      openRequests.delete(socket);
-    });
+    open.add(socket);
+    socket.once('close', () => forget(socket));
     silent.add(socket);
-    if (count <= maxConnections) return;
+    if (open.size - ending.size <= maxConnections) return;
+    onClosed();
     const [oldestSilent] = silent;
     const [oldestIdle] = idle;
-    const excess = [oldestSilent, oldestSending(), oldestIdle].find(
-      oldest => oldest !== undefined && oldest !== socket,
-    );
-    onClosed();
-    (excess ?? socket).destroy();
+    const answered = oldestSending() ?? oldestIdle;
+    if (oldestSilent && oldestSilent !== socket) close(oldestSilent);
+    else if (answered) end(answered);
+    else close(socket);
   });
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
     const {socket} = req;
--- a/packages/gateway/src/lingering_connections.ts
+++ b/packages/gateway/src/lingering_connections.ts
@@ -34,6 +34,11 @@
     });
   }
 
+  /** Number of these connections. */
+  get size(): number {
+    return this.sockets.size;
+  }
+
   /** Resolves once there are none. */
   whenNone(): Promise<void> {
     if (this.sockets.size === 0) return Promise.resolve();
