Read idle connections once more before they are closed, and end them in order

What callers saw: a request on a kept connection that had arrived when a gateway that stops closed its idle connections, or that crossed this close or the idle limit's, got a reset. It was not passed on, but a caller that can't tell so, or can't repeat it, has lost it.

Cause: whether a connection is idle was judged by the bytes that the process has read; those in the kernel turned the close into a reset, and so did those that came after it.

Evidence, on the commit before: with a request that had arrived, "answers a request that has arrived when idle connections are closed" and "... when the server is closed" got ECONNRESET in place of a response; "resets no connection whose request crosses the close of idle connections" and "... the idle limit" got EPIPE. End to end, request_at_close.test.ts got [200] in place of [200, 503], with a process that stalls over the close.

Change: what has arrived is read before idle connections are closed, so that a gateway that stops answers it with 503. They are then ended in order, and read for 500 ms, which takes in a round trip. A request that comes in that time can't be answered; its caller sees the orderly end of the connection without a byte of a response, which clients take for a kept connection that was closed, rather than for an error. A stop waits for it, so it lasts up to 500 ms longer if a caller does not close its side; a caller that does costs one round trip.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -36,7 +36,10 @@
   callerHttpServer.closeIdleConnections();
   const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
   const idle = [
-    callerServer.whenIdle().then(() => idleConnections.lingering.whenNone()),
+    idleConnections
+      .whenClosed()
+      .then(() => callerServer.whenIdle())
+      .then(() => idleConnections.lingering.whenNone()),
     upstreamPaths.tunnels.whenIdle(),
   ];
   await Promise.race([Promise.all(idle), sleep(limitMs)]);
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -4,6 +4,13 @@
 import type {Socket} from 'node:net';
 import {IDLE_CLOSE_MARGIN_MS} from './constants.js';
 import {LingeringConnections} from './lingering_connections.js';
+import {destroyAfter} from './response_end.js';
+
+/**
+ * Time in milliseconds for which an idle connection that has been ended is read, so
+ * that a request which crosses its end resets nothing.
+ */
+const IDLE_LINGER_MS = 500;
 
 /** A connection without an open request. */
 interface IdleConnection {
@@ -24,6 +31,8 @@
   private readonly openRequests = new Map<Socket, number>();
   /** Bytes read of each connection up to the end of its latest request. */
   private readonly readBytes = new Map<Socket, number>();
+  /** Resolves once the latest close of idle connections is done. */
+  private closing: Promise<void> = Promise.resolve();
 
   constructor(
     private readonly server: http.Server,
@@ -38,7 +47,17 @@
     server.on('timeout', (socket: Socket) => this.closeUnlessRead(socket));
     // Node.js calls it at the server's close, and would close connections whose
     // last response has been written, but not yet sent.
-    server.closeIdleConnections = () => this.closeIdle();
+    server.closeIdleConnections = () => {
+      this.closing = this.closeIdle();
+    };
+  }
+
+  /**
+   * Resolves once those that were idle when the server was closed are closed, or
+   * have an open request.
+   */
+  whenClosed(): Promise<void> {
+    return this.closing;
   }
 
   /** Follows a request to the end of its response. */
@@ -66,10 +85,11 @@
   }
 
   /** Closes the connections that have no open request and none that has begun. */
-  private closeIdle(): void {
+  private async closeIdle(): Promise<void> {
+    await nextRead();
     for (const [socket, readBytes] of this.readBytes) {
       const isIdle = !this.openRequests.has(socket) && !socket.writableEnded;
-      if (isIdle && socket.bytesRead === readBytes) socket.destroy();
+      if (isIdle && socket.bytesRead === readBytes) this.end(socket);
     }
   }
 
@@ -95,7 +115,7 @@
   private closeUnlessRead(socket: Socket): void {
     const {bytesRead} = socket;
     // After a stall, timers run out before the bytes that came meanwhile are read.
-    setImmediate(() => {
+    void nextRead().then(() => {
       if (socket.bytesRead === bytesRead) this.close(socket);
     });
   }
@@ -107,7 +127,13 @@
       const {limitMs} = connection;
       this.log.info('idle_connection_closed', {limitMs, inForceMs});
     }
-    socket.destroy();
+    this.end(socket);
+  }
+
+  private end(socket: Socket): void {
+    this.idle.delete(socket);
+    socket.destroySoon();
+    destroyAfter(socket, IDLE_LINGER_MS);
   }
 
   private forget(socket: Socket): void {
@@ -116,3 +142,9 @@
     this.readBytes.delete(socket);
   }
 }
+
+/** Resolves once what had arrived on connections has been read. */
+async function nextRead(): Promise<void> {
+  // The first one may come before the events that a pass of the loop has left.
+  for (let i = 0; i < 2; i++) await new Promise(setImmediate);
+}
