Log what a refusal for a quota rests on, and the stream that a request resumes

Why a signal: the log had account and wait of such a refusal. It told neither the units asked for, nor what the bucket had left, nor which requests resumed a stream, as stream_place_decided comes after the charge. Change: quota_refused has the units, priority, quota, what is left, what the bucket can hold, and what was used since the last exchange with its limit; request_ended and request_refused have quotaUnits and resumes. Charging moves to quota_charge.ts, unchanged.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -18,6 +18,7 @@
 import type {OpenResponseCounts} from './open_responses.js';
 import {OpenResponses} from './open_responses.js';
 import {partIds} from './prompt_parts.js';
+import {chargeQuota, refundQuota} from './quota_charge.js';
 import type {ReceivedBody} from './request_body.js';
 import {
   discardRest,
@@ -126,7 +127,7 @@
         body.bytes,
       );
       this.refuseCrashSuspect(fingerprint, head);
-      this.charge(admission, head.tokens !== null);
+      chargeQuota(this.gateway, admission, head);
       isCharged = true;
       limitTime(timer, admission, head);
       const openRequest = {
@@ -148,7 +149,9 @@
       body?.release();
       this.gateway.stopGate.remove(timer);
       const hasNotRun = run?.hasNotRun ?? true;
-      if (admission && isCharged && hasNotRun) this.refund(admission);
+      if (admission && isCharged && hasNotRun) {
+        refundQuota(this.gateway, admission);
+      }
       this.logEnd(res, head, admission, run, refusal, timer);
       this.finishRequest();
     }
@@ -223,29 +226,6 @@
     throw new GatewayRefusalError(GATEWAY_REFUSAL.CRASH_SUSPECTED);
   }
 
-  private charge(
-    {account, quotaUnits, route}: Admission,
-    hasTokens: boolean,
-  ): void {
-    if (!account?.quota) return;
-    const waitMs = this.gateway.quotaLedger.charge(
-      account.name,
-      account.quota,
-      quotaUnits,
-      this.gateway.clock.monotonicMs(),
-      // Requests without a token count use almost none of a quota, so they are
-      // charged at the highest priority.
-      hasTokens ? route.priority : 0,
-    );
-    if (waitMs === 0) return;
-    throw new GatewayRefusalError(GATEWAY_REFUSAL.QUOTA_EXCEEDED, waitMs);
-  }
-
-  private refund({account, quotaUnits}: Admission): void {
-    if (account?.quota)
-      this.gateway.quotaLedger.refund(account.name, quotaUnits);
-  }
-
   /**
    * Sends a refusal, or cuts the connection if the response has begun; returns
    * null if the caller has disconnected.
@@ -325,6 +305,8 @@
       id: head?.requestId,
       route: admission?.route.name,
       account: admission?.account?.name,
+      quotaUnits: admission?.quotaUnits,
+      resumes: head?.resumedRequestId ?? undefined,
       status: res.statusCode,
       reason: refusal?.reason,
       retryAfterMs: refusal?.retryAfterMs ?? undefined,
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -28,6 +28,17 @@
 /** Permits no use beyond the quota. */
 const NO_TOLERANCE: QuotaTolerance = {windowMs: 0, ratio: 0, extra: 0};
 
+/** What is known of an account's quota at one member, in its units. */
+export interface QuotaState {
+  readonly left: number;
+  /** Used since the last exchange, less this member's part of the refill. */
+  readonly unconfirmed: number;
+  /** What may be used until the next exchange; Infinity in a small cluster. */
+  readonly unconfirmedLimit: number;
+  /** Units that a request may have if it is not to wait for a full bucket. */
+  readonly capacity: number;
+}
+
 /** Token bucket of one account. */
 interface Bucket {
   /** Units that are left; negative after use by other members. */
@@ -115,6 +126,18 @@
     return 0;
   }
 
+  /** State of an account's bucket at its last use; null if it has none. */
+  stateOf(account: string): QuotaState | null {
+    const bucket = this.buckets.get(account);
+    if (!bucket) return null;
+    return {
+      left: bucket.level,
+      unconfirmed: bucket.unconfirmed,
+      unconfirmedLimit: this.unconfirmedLimit(bucket),
+      capacity: this.capacityOf(bucket.limit),
+    };
+  }
+
   /** Drops the buckets of all accounts but these. */
   retain(accounts: ReadonlySet<string>): void {
     for (const account of this.buckets.keys()) {
