Fill a bucket at the share that was in force, not at the one that comes after

Cause: a bucket is filled when it is used next, at the share of that moment. What others use is deducted at each exchange. The other way round, a member that found the others again filled its buckets at the whole rate for the time in which it had a share. Change: setShare fills all buckets up to now first. It takes the time, which tests pass.

--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -139,7 +139,8 @@
   private setShare(share: number): void {
     const previousShare = this.share;
     this.share = Math.min(1, share);
-    for (const ledger of this.ledgers) ledger.setShare(this.share);
+    const nowMs = this.clock.monotonicMs();
+    for (const ledger of this.ledgers) ledger.setShare(this.share, nowMs);
     if (this.share === previousShare) return;
     this.log.info('quota_share_changed', {
       share: this.share.toFixed(3),
--- a/packages/scheduling/src/token_quota.test.ts
+++ b/packages/scheduling/src/token_quota.test.ts
@@ -22,13 +22,15 @@
   exchange(nowMs: number, silent: readonly number[] = []): void {
     this.ledgers.forEach((ledger, i) => {
       if (silent.includes(i)) {
-        ledger.setShare(1 / this.ledgers.length);
+        ledger.setShare(1 / this.ledgers.length, nowMs);
         return;
       }
       const usage = ledger.takeUnreported();
       const {others, heard} = this.hub.exchange(`m${i}`, usage, nowMs);
       ledger.applyOthersUsage(others);
-      if (heard !== null) ledger.setShare(heard / this.ledgers.length);
+      if (heard !== null) {
+        ledger.setShare(heard / this.ledgers.length, nowMs);
+      }
     });
   }
 
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -67,8 +67,13 @@
     this.tolerance = tolerance;
   }
 
-  /** Sets the share of each quota, from 0 to 1, that this member's buckets hold. */
-  setShare(share: number): void {
+  /**
+   * Sets the share of each quota, from 0 to 1, that this member's buckets hold and
+   * are filled at from now on.
+   */
+  setShare(share: number, nowMs: number): void {
+    if (share === this.share) return;
+    for (const bucket of this.buckets.values()) this.fill(bucket, nowMs);
     this.share = share;
   }
 
@@ -203,16 +208,22 @@
       this.buckets.set(account, bucket);
       return bucket;
     }
-    const passedMs = nowMs - existing.filledAtMs;
-    const filled = (passedMs * limit.perSecond * this.share) / MS_PER_SECOND;
-    existing.filledAtMs = nowMs;
     existing.limit = limit;
-    existing.level = Math.min(this.capacityOf(limit), existing.level + filled);
-    const ownFilled = filled * this.unconfirmedShare;
-    existing.unconfirmed = Math.max(0, existing.unconfirmed - ownFilled);
+    this.fill(existing, nowMs);
     return existing;
   }
 
+  /** Adds what has come in since a bucket was filled last. */
+  private fill(bucket: Bucket, nowMs: number): void {
+    const {limit, filledAtMs} = bucket;
+    const passedMs = nowMs - filledAtMs;
+    const filled = (passedMs * limit.perSecond * this.share) / MS_PER_SECOND;
+    bucket.filledAtMs = nowMs;
+    bucket.level = Math.min(this.capacityOf(limit), bucket.level + filled);
+    const ownFilled = filled * this.unconfirmedShare;
+    bucket.unconfirmed = Math.max(0, bucket.unconfirmed - ownFilled);
+  }
+
   /** Part of what is left, and of the refill, that one member may use alone. */
   private get unconfirmedShare(): number {
     if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return 1;
--- a/packages/scheduling/src/upstream_rate_limiter.test.ts
+++ b/packages/scheduling/src/upstream_rate_limiter.test.ts
@@ -58,13 +58,13 @@
     this.limiters.forEach(({ledger}, i) => {
       if (cutSinceMs !== null) {
         if (nowMs - cutSinceMs < SILENCE_TIMEOUT_MS) return;
-        ledger.setShare(1 / this.count);
+        ledger.setShare(1 / this.count, nowMs);
         return;
       }
       const usage = ledger.takeUnreported();
       const {others, heard} = this.hub.exchange(`m${i}`, usage, nowMs);
       ledger.applyOthersUsage(others);
-      if (heard !== null) ledger.setShare(heard / this.count);
+      if (heard !== null) ledger.setShare(heard / this.count, nowMs);
     });
   }
 }
