Charge a member that keeps to a share only for what the share covers

Cause: a member that keeps to 3/31 of each quota filled its buckets by that share, but took out of them all that the restarted members used of their whole buckets, for 0.6 s in which a new hub can't tell whom it hears: quota_refused has left=-544178 at a capacity of 88438 for a quota of 674692 a second, 0.9 s after the restart. A member that another hub answered first was spared once, but not at the exchanges after that. Ruled out: to take the members that a new hub has heard so far for all of them, as the share would fall for each hub that is new. Change: shareAfterExchange, on plain data: while the hub can't tell, a member that keeps to a share keeps to its own and pays for nobody; once it can, what it tells is charged by the part that the share before covered. Members with whole buckets are as before. Evidence: 'do not pay for what those use when they are back' plays 31 members of which 3 stayed, an account at .55 of its quota; with the rule of before the three refused 9 requests, now none. usage_exchange.test.ts holds.

--- a/packages/gateway/src/usage_exchange.ts
+++ b/packages/gateway/src/usage_exchange.ts
@@ -1,7 +1,7 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import {sleep} from '@fescuespool/common';
 import type {QuotaLedger} from '@fescuespool/scheduling';
-import {UsageHub} from '@fescuespool/scheduling';
+import {shareAfterExchange, UsageHub} from '@fescuespool/scheduling';
 import type {PeerNetwork} from '@fescuespool/transport';
 import {callPeer} from '@fescuespool/transport';
 import {
@@ -122,11 +122,15 @@
     const isSameHub = hubId === this.hubId;
     this.lastAnswerMs = this.clock.monotonicMs();
     this.hubId = hubId;
+    const count = this.members.allMembers.length;
+    const {share, coveredPart} = shareAfterExchange(this.share, heard, count);
     // Usage from both sides of a partition was covered by their shares of the
     // quotas, so it is not deducted again afterwards.
-    const deducted = isSameHub || this.share === 1 ? others : {};
-    for (const ledger of this.ledgers) ledger.applyOthersUsage(deducted);
-    if (heard !== null) this.setShare(heard / this.members.allMembers.length);
+    const isCovered = isSameHub || this.share === 1;
+    for (const ledger of this.ledgers) {
+      ledger.applyOthersUsage(others, isCovered ? coveredPart : 0);
+    }
+    this.setShare(share);
   }
 
   private useOwnShareAfterTimeout(): void {
@@ -138,7 +142,7 @@
 
   private setShare(share: number): void {
     const previousShare = this.share;
-    this.share = Math.min(1, share);
+    this.share = share;
     const nowMs = this.clock.monotonicMs();
     for (const ledger of this.ledgers) ledger.setShare(this.share, nowMs);
     if (this.share === previousShare) return;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -9,6 +9,7 @@
 export * from './prefix/prompt_prefixes.js';
 export * from './preview/queue_preview.js';
 export * from './queue_stats.js';
+export * from './quota_share.js';
 export * from './refusals/refusal_policy.js';
 export * from './refusals/return_ledger.js';
 export * from './rejection_risk.js';
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -183,12 +183,18 @@
     }
   }
 
-  /** Deducts the usage of other members, which completes an exchange. */
-  applyOthersUsage(usage: Readonly<Record<string, number>>): void {
+  /**
+   * Deducts the usage of other members, or the part of it that this member's
+   * buckets have to cover, which completes an exchange.
+   */
+  applyOthersUsage(
+    usage: Readonly<Record<string, number>>,
+    coveredPart = 1,
+  ): void {
     for (const bucket of this.buckets.values()) bucket.unconfirmed = 0;
     for (const [account, units] of Object.entries(usage)) {
       const bucket = this.buckets.get(account);
-      if (bucket) bucket.level -= units;
+      if (bucket) bucket.level -= coveredPart * units;
     }
   }
 
