Let a member that keeps to its own share of a quota use all of it

Cause: what a member of a large fleet may use before the next exchange is 3/N of what is left, so that N members do not spend the same units. A member that keeps to 1/N of the quota has nobody who could, but was held to 3/N of that 1/N. Change: the part goes by the members that the share is for, 3/(share x N). Evidence: 'may use all of it' failed before (refused after 3/31 of its share); the fleet tests of quotas hold as they are.

--- a/packages/scheduling/src/quota_shares.test.ts
+++ b/packages/scheduling/src/quota_shares.test.ts
@@ -33,3 +33,17 @@
     expect(charge((2 * LIMIT.burst) / MEMBERS, QUIET_MS)).toBeGreaterThan(0);
   });
 });
+
+describe('a member of a large cluster that keeps to its own share', () => {
+  it('may use all of it, as no other member can', () => {
+    const ledger = new QuotaLedger();
+    ledger.setMemberCount(MEMBERS);
+    ledger.openBucket(ACCOUNT, LIMIT, 0);
+    ledger.setShare(1 / MEMBERS, 0);
+    const units = 2;
+    for (let used = units; used <= LIMIT.burst / MEMBERS; used += units) {
+      expect(ledger.charge(ACCOUNT, LIMIT, units, 0)).toBe(0);
+    }
+    expect(ledger.charge(ACCOUNT, LIMIT, units, 0)).toBeGreaterThan(0);
+  });
+});
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -233,7 +233,9 @@
   /** Part of what is left, and of the refill, that one member may use alone. */
   private get unconfirmedShare(): number {
     if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return 1;
-    return Math.min(1, UNCONFIRMED_SHARES / this.memberCount);
+    // Of a share, only the members that it is for can use the same units.
+    const sharing = Math.max(1, this.share * this.memberCount);
+    return Math.min(1, UNCONFIRMED_SHARES / sharing);
   }
 
   /**
