Finish streams that callers take up before an account's new requests

Cause: a stream that is taken up was charged like a new request, by its route's priority. Where a member keeps to a share, new requests take each unit as it comes in, and two fifths of a burst are kept from the lowest routes: quota_refused has units=2556 at left=27936. Ruled out: to charge less for it, or not at all. It runs again at an engine, its tokens count towards the quota there, and a caller may name any stream. Change: it is charged in full, with no reserve for higher priorities, and may take what is missing out of the member's part of the tolerance for use that is not exchanged yet. Later requests wait until that is paid back. Nothing that gateways tell one another changes.

--- a/packages/gateway/src/quota_charge.ts
+++ b/packages/gateway/src/quota_charge.ts
@@ -1,11 +1,28 @@
+import type {QuotaPriority} from '@fescuespool/scheduling';
+import {BEGUN} from '@fescuespool/scheduling';
 import type {Admission} from './admission.js';
 import {GATEWAY_REFUSAL} from './constants.js';
 import {GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
-import type {RequestHead} from './types.js';
+import {isStream} from './open_request.js';
+import type {RequestHead, Route} from './types.js';
 
 type QuotaContext = Pick<GatewayContext, 'clock' | 'log' | 'quotaLedger'>;
 
+/**
+ * Priority of a request within its account's quota. A stream that its caller takes
+ * up goes before new requests, which would throw away what has run of it.
+ */
+export function quotaPriorityOf(
+  route: Route,
+  {tokens, lastEventId}: RequestHead,
+): QuotaPriority {
+  const isResumed = isStream(route) && route.isResumable;
+  if (isResumed && lastEventId !== null) return BEGUN;
+  // Requests without a token count use almost none of a quota.
+  return tokens === null ? 0 : route.priority;
+}
+
 /**
  * Charges a request to its account's quota; throws a GatewayRefusalError if that
  * is spent.
@@ -13,12 +30,10 @@
 export function chargeQuota(
   {clock, log, quotaLedger}: QuotaContext,
   {account, quotaUnits, route}: Admission,
-  {requestId, tokens, resumedRequestId, lastEventId}: RequestHead,
+  head: RequestHead,
 ): void {
   if (!account?.quota) return;
-  // Requests without a token count use almost none of a quota, so they are
-  // charged at the highest priority.
-  const priority = tokens === null ? 0 : route.priority;
+  const priority = quotaPriorityOf(route, head);
   const waitMs = quotaLedger.charge(
     account.name,
     account.quota,
@@ -27,6 +42,7 @@
     priority,
   );
   if (waitMs === 0) return;
+  const {requestId, resumedRequestId, lastEventId} = head;
   const state = quotaLedger.stateOf(account.name);
   log.info('quota_refused', {
     id: requestId,
--- a/packages/gateway/src/request_preview.ts
+++ b/packages/gateway/src/request_preview.ts
@@ -11,6 +11,7 @@
 import {createGrantRequest, versionToBegin} from './grant_request.js';
 import {PROMPT_PARTS, QUEUE_PREVIEW_SCHEMA} from './messages.js';
 import {callerPatienceMs} from './open_request.js';
+import {quotaPriorityOf} from './quota_charge.js';
 import type {RequestHead} from './types.js';
 
 /** Timeout in milliseconds of the question to a queue's owner. */
@@ -153,11 +154,11 @@
 
   private quotaWaitMs(
     {account, quotaUnits, route}: Admission,
-    {tokens}: RequestHead,
+    head: RequestHead,
   ): number {
     if (!account?.quota) return 0;
     const {clock, quotaLedger} = this.gateway;
-    const priority = tokens ? route.priority : 0;
+    const priority = quotaPriorityOf(route, head);
     const now = clock.monotonicMs();
     const {name, quota} = account;
     return quotaLedger.waitMs(name, quota, quotaUnits, now, priority);
--- a/packages/scheduling/src/large_fleet_quota.test.ts
+++ b/packages/scheduling/src/large_fleet_quota.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
-import {QuotaLedger, UsageHub} from './token_quota.js';
+import {shareAfterExchange} from './quota_share.js';
+import {BEGUN, QuotaLedger, UsageHub} from './token_quota.js';
 
 const PER_SECOND = 47_000;
 const TOLERANCE = {windowMs: 8_000, ratio: 0.1, extra: 190_000};
@@ -8,6 +9,9 @@
 /** Milliseconds per member between its exchanges, and their minimum. */
 const EXCHANGE_MS_PER_MEMBER = 4;
 const MIN_EXCHANGE_MS = 100;
+/** Silence after which a member keeps to its share, and of a new hub. */
+const SILENCE_TIMEOUT_MS = 1_200;
+const HUB_SETTLE_MS = 600;
 /** When all members are killed, and back with nothing known. */
 const KILL = {atMs: 10_000, backAtMs: 11_000};
 
@@ -18,44 +22,78 @@
   /** Multiple of its quota that it asks for. */
   readonly factor: number;
   readonly isKilled: boolean;
+  /** Part of its requests that go on with what has begun. */
+  readonly begunPart?: number;
+  /** When the members lose each other, and in groups of how many they do. */
+  readonly cut?: {readonly atMs: number; readonly groupSize: number};
+}
+
+/** Returns a generator of numbers from 0 to 1. */
+function seededDraw(start: number): () => number {
+  let seed = start;
+  return () => {
+    seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return seed / 2_147_483_648;
+  };
 }
 
 /** Plays a load; returns the units used, in all and in the fullest window. */
 function play(load: PlayedLoad): {total: number; fullest: number} {
-  const {members, burst, factor, isKilled} = load;
+  const {members, burst, factor, isKilled, begunPart = 0, cut} = load;
   const limit = {perSecond: PER_SECOND, burst};
   const perMember = EXCHANGE_MS_PER_MEMBER * members;
   const exchangeMs = Math.max(MIN_EXCHANGE_MS, perMember);
   let ledgers: QuotaLedger[] = [];
-  let hub = new UsageHub(1_200, 600);
+  /** One for all members, or one for each group while they are cut. */
+  let hubs: UsageHub[] = [];
+  let shares: number[] = [];
+  const groupSize = cut?.groupSize ?? members;
   const startAll = (): void => {
-    hub = new UsageHub(1_200, 600);
+    hubs = Array.from(
+      {length: Math.ceil(members / groupSize)},
+      () => new UsageHub(SILENCE_TIMEOUT_MS, HUB_SETTLE_MS),
+    );
     ledgers = Array.from({length: members}, () => new QuotaLedger(TOLERANCE));
     for (const ledger of ledgers) ledger.setMemberCount(members);
+    shares = ledgers.map(() => 1);
+  };
+  const exchange = (i: number, nowMs: number): void => {
+    const ledger = ledgers[i]!;
+    const cutForMs = cut ? nowMs - cut.atMs : -1;
+    let next = {share: 1 / members, coveredPart: 0};
+    if (cutForMs >= 0 && cutForMs < SILENCE_TIMEOUT_MS) return;
+    if (cutForMs < 0 || groupSize > 1) {
+      const group = cutForMs < 0 ? 0 : Math.floor(i / groupSize);
+      const usage = ledger.takeUnreported();
+      const answer = hubs[group]!.exchange(String(i), usage, nowMs);
+      // It heard no hub for the timeout.
+      if (cutForMs >= 0 && shares[i] === 1) shares[i] = 1 / members;
+      next = shareAfterExchange(shares[i]!, answer.heard, members);
+      ledger.applyOthersUsage(answer.others, next.coveredPart);
+    }
+    shares[i] = next.share;
+    ledger.setShare(next.share, nowMs);
   };
   const used: number[] = [];
   let asked = 0;
-  let seed = 1;
-  const drawMember = (): number => {
-    seed = (seed * 1_103_515_245 + 12_345) % 2_147_483_648;
-    return Math.floor((seed / 2_147_483_648) * members);
-  };
+  const draw = seededDraw(1);
+  const drawMember = (): number => Math.floor(draw() * members);
+  // Drawn apart, so that the same members are asked.
+  const drawPriority = seededDraw(2);
   startAll();
   for (let nowMs = 0; nowMs < DAY_MS; nowMs++) {
     used.push(0);
     if (isKilled && nowMs === KILL.backAtMs) startAll();
     if (isKilled && nowMs >= KILL.atMs && nowMs < KILL.backAtMs) continue;
-    ledgers.forEach((ledger, i) => {
+    ledgers.forEach((_, i) => {
       const offsetMs = Math.floor((i * exchangeMs) / members);
-      if ((nowMs + offsetMs) % exchangeMs !== 0) return;
-      const usage = ledger.takeUnreported();
-      const {others} = hub.exchange(String(i), usage, nowMs);
-      ledger.applyOthersUsage(others);
+      if ((nowMs + offsetMs) % exchangeMs === 0) exchange(i, nowMs);
     });
     asked += (PER_SECOND * factor) / 1_000;
     for (; asked >= REQUEST_UNITS; asked -= REQUEST_UNITS) {
       const ledger = ledgers[drawMember()]!;
-      const waitMs = ledger.charge('a', limit, REQUEST_UNITS, nowMs);
+      const priority = drawPriority() < begunPart ? BEGUN : 0;
+      const waitMs = ledger.charge('a', limit, REQUEST_UNITS, nowMs, priority);
       if (waitMs === 0) used[nowMs]! += REQUEST_UNITS;
     }
   }
@@ -94,4 +132,32 @@
       },
     );
   });
+
+  it.each([1, 5, 30])(
+    'keep an account in bounds that goes on with what has begun after a cut into groups of %i',
+    groupSize => {
+      const load = {members, factor: 5, isKilled: false, begunPart: 0.3};
+      for (const burst of [50_000, 150_000, 400_000]) {
+        // With full buckets, and with spent ones.
+        for (const atMs of [50, 10_000]) {
+          const cut = {atMs, groupSize};
+          const {fullest} = play({...load, burst, cut});
+          expect(fullest).toBeLessThanOrEqual(boundOf(burst));
+        }
+      }
+    },
+  );
+
+  it.each([0.3, 1])(
+    'keep an account in bounds of which a part goes on with what has begun (%d)',
+    begunPart => {
+      const load = {members, factor: 5, begunPart};
+      for (const burst of [50_000, 150_000, 400_000]) {
+        for (const isKilled of [false, true]) {
+          const {fullest} = play({...load, burst, isKilled});
+          expect(fullest).toBeLessThanOrEqual(boundOf(burst));
+        }
+      }
+    },
+  );
 });
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -28,6 +28,12 @@
 /** Permits no use beyond the quota. */
 const NO_TOLERANCE: QuotaTolerance = {windowMs: 0, ratio: 0, extra: 0};
 
+/** Priority of requests that go on with work which has begun. */
+export const BEGUN = 'begun';
+
+/** Priority of a request within its account's quota; 0 is the highest number. */
+export type QuotaPriority = number | typeof BEGUN;
+
 /** What is known of an account's quota at one member, in its units. */
 export interface QuotaState {
   readonly left: number;
@@ -86,7 +92,7 @@
     limit: QuotaLimit,
     units: number,
     nowMs: number,
-    priority = 0,
+    priority: QuotaPriority = 0,
   ): number {
     const waitMs = this.waitMs(account, limit, units, nowMs, priority);
     if (waitMs > 0) return waitMs;
@@ -101,22 +107,24 @@
    * Milliseconds until units would be within an account's quota; 0 if they are
    * now. Each priority reserves a part of the burst for the higher ones, so that
    * an account over its quota loses its least urgent requests first. Priority 0
-   * is the highest.
+   * is the highest; what has begun goes before it, and later requests pay for what
+   * it is missing.
    */
   waitMs(
     account: string,
     limit: QuotaLimit,
     units: number,
     nowMs: number,
-    priority = 0,
+    priority: QuotaPriority = 0,
   ): number {
     const bucket = this.bucketOf(account, limit, nowMs);
-    const reservedPriorities = Math.min(priority, MAX_RESERVED_PRIORITIES);
     const reserve =
-      QUOTA_RESERVE_PER_PRIORITY *
-      reservedPriorities *
-      limit.burst *
-      this.share;
+      priority === BEGUN
+        ? -this.unconfirmedToleranceOf(limit)
+        : QUOTA_RESERVE_PER_PRIORITY *
+          Math.min(priority, MAX_RESERVED_PRIORITIES) *
+          limit.burst *
+          this.share;
     // A request larger than the bucket is admitted when the bucket is full.
     const needed = Math.min(units + reserve, this.capacityOf(limit));
     const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
@@ -247,8 +255,13 @@
   private unconfirmedLimit({level, unconfirmed, limit}: Bucket): number {
     if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return Infinity;
     const left = Math.max(0, level + unconfirmed);
+    return this.unconfirmedShare * left + this.unconfirmedToleranceOf(limit);
+  }
+
+  /** One member's part of the tolerance for what is not exchanged yet. */
+  private unconfirmedToleranceOf(limit: QuotaLimit): number {
     const tolerated = (1 - QUOTA_TOLERANCE_SHARE) * this.maxExcessOf(limit);
-    return this.unconfirmedShare * left + tolerated / this.memberCount;
+    return tolerated / this.memberCount;
   }
 
   /**
