Let a smaller share of a quota cover what was used since the last exchange

What callers could get: more than a quota over all members, for an account that presses while they lose each other. Cause: a member that hears no hub uses whole buckets for 1.2 s. When it then kept to a share, its bucket was cut to that share if it held more, and what it had used meanwhile was forgotten. Change: setShare reckons a smaller share from the last exchange on: the share of what was there then, less what was used here since. A debt of the whole bucket stays.

--- a/packages/scheduling/src/quota_shares.test.ts
+++ b/packages/scheduling/src/quota_shares.test.ts
@@ -47,3 +47,17 @@
     expect(ledger.charge(ACCOUNT, LIMIT, units, 0)).toBeGreaterThan(0);
   });
 });
+
+describe('a member that keeps to its own share from now on', () => {
+  it('pays for what it has used since the last exchange', () => {
+    const ledger = new QuotaLedger();
+    ledger.openBucket(ACCOUNT, LIMIT, 0);
+    const share = 1 / 4;
+    ledger.charge(ACCOUNT, LIMIT, 0.9 * LIMIT.burst, 0);
+    ledger.setShare(share, 0);
+    // Its share is spent, and .65 of a burst of the others' parts with it.
+    const waitMs = ledger.charge(ACCOUNT, LIMIT, 1, 0);
+    const owed = (0.9 - share) * LIMIT.burst;
+    expect(waitMs).toBeGreaterThan((owed * 1_000) / (share * LIMIT.perSecond));
+  });
+});
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -75,11 +75,18 @@
 
   /**
    * Sets the share of each quota, from 0 to 1, that this member's buckets hold and
-   * are filled at from now on.
+   * are filled at from now on. A smaller one holds since the last exchange: it has to
+   * cover what was used here since then.
    */
   setShare(share: number, nowMs: number): void {
     if (share === this.share) return;
-    for (const bucket of this.buckets.values()) this.fill(bucket, nowMs);
+    const kept = Math.min(1, share / this.share);
+    for (const [account, bucket] of this.buckets) {
+      this.fill(bucket, nowMs);
+      const used = this.unreported.get(account) ?? 0;
+      const covered = kept * (bucket.level + used) - used;
+      bucket.level = Math.min(bucket.level, covered);
+    }
     this.share = share;
   }
 
