--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -28,6 +28,23 @@
 /** Permits no use beyond the quota. */
 const NO_TOLERANCE: QuotaTolerance = {windowMs: 0, ratio: 0, extra: 0};
 
+/** Priority of requests that go on with work which has begun. */
+export const BEGUN = 'begun';
+
+/** Priority of a request within its account's quota; 0 is the highest number. */
+export type QuotaPriority = number | typeof BEGUN;
+
+/** What is known of an account's quota at one member, in its units. */
+export interface QuotaState {
+  readonly left: number;
+  /** Used since the last exchange, less this member's part of the refill. */
+  readonly unconfirmed: number;
+  /** What may be used until the next exchange; Infinity in a small cluster. */
+  readonly unconfirmedLimit: number;
+  /** Units that a request may have if it is not to wait for a full bucket. */
+  readonly capacity: number;
+}
+
 /** Token bucket of one account. */
 interface Bucket {
   /** Units that are left; negative after use by other members. */
@@ -56,8 +73,20 @@
     this.tolerance = tolerance;
   }
 
-  /** Sets the share of each quota, from 0 to 1, that this member's buckets hold. */
-  setShare(share: number): void {
+  /**
+   * Sets the share of each quota, from 0 to 1, that this member's buckets hold and
+   * are filled at from now on. A smaller one holds since the last exchange: it has to
+   * cover what was used here since then.
+   */
+  setShare(share: number, nowMs: number): void {
+    if (share === this.share) return;
+    const kept = Math.min(1, share / this.share);
+    for (const [account, bucket] of this.buckets) {
+      this.fill(bucket, nowMs);
+      const used = this.unreported.get(account) ?? 0;
+      const covered = kept * (bucket.level + used) - used;
+      bucket.level = Math.min(bucket.level, covered);
+    }
     this.share = share;
   }
 
@@ -70,7 +99,7 @@
     limit: QuotaLimit,
     units: number,
     nowMs: number,
-    priority = 0,
+    priority: QuotaPriority = 0,
   ): number {
     const waitMs = this.waitMs(account, limit, units, nowMs, priority);
     if (waitMs > 0) return waitMs;
@@ -85,22 +114,24 @@
    * Milliseconds until units would be within an account's quota; 0 if they are
    * now. Each priority reserves a part of the burst for the higher ones, so that
    * an account over its quota loses its least urgent requests first. Priority 0
-   * is the highest.
+   * is the highest; what has begun goes before it, and later requests pay for what
+   * it is missing.
    */
   waitMs(
     account: string,
     limit: QuotaLimit,
     units: number,
     nowMs: number,
-    priority = 0,
+    priority: QuotaPriority = 0,
   ): number {
     const bucket = this.bucketOf(account, limit, nowMs);
-    const reservedPriorities = Math.min(priority, MAX_RESERVED_PRIORITIES);
     const reserve =
-      QUOTA_RESERVE_PER_PRIORITY *
-      reservedPriorities *
-      limit.burst *
-      this.share;
+      priority === BEGUN
+        ? -this.unconfirmedToleranceOf(limit)
+        : QUOTA_RESERVE_PER_PRIORITY *
+          Math.min(priority, MAX_RESERVED_PRIORITIES) *
+          limit.burst *
+          this.share;
     // A request larger than the bucket is admitted when the bucket is full.
     const needed = Math.min(units + reserve, this.capacityOf(limit));
     const perMs = (limit.perSecond * this.share) / MS_PER_SECOND;
@@ -115,6 +146,18 @@
     return 0;
   }
 
+  /** State of an account's bucket at its last use; null if it has none. */
+  stateOf(account: string): QuotaState | null {
+    const bucket = this.buckets.get(account);
+    if (!bucket) return null;
+    return {
+      left: bucket.level,
+      unconfirmed: bucket.unconfirmed,
+      unconfirmedLimit: this.unconfirmedLimit(bucket),
+      capacity: this.capacityOf(bucket.limit),
+    };
+  }
+
   /** Drops the buckets of all accounts but these. */
   retain(accounts: ReadonlySet<string>): void {
     for (const account of this.buckets.keys()) {
@@ -155,12 +198,18 @@
     }
   }
 
-  /** Deducts the usage of other members, which completes an exchange. */
-  applyOthersUsage(usage: Readonly<Record<string, number>>): void {
+  /**
+   * Deducts the usage of other members, or the part of it that this member's
+   * buckets have to cover, which completes an exchange.
+   */
+  applyOthersUsage(
+    usage: Readonly<Record<string, number>>,
+    coveredPart = 1,
+  ): void {
     for (const bucket of this.buckets.values()) bucket.unconfirmed = 0;
     for (const [account, units] of Object.entries(usage)) {
       const bucket = this.buckets.get(account);
-      if (bucket) bucket.level -= units;
+      if (bucket) bucket.level -= coveredPart * units;
     }
   }
 
@@ -180,20 +229,28 @@
       this.buckets.set(account, bucket);
       return bucket;
     }
-    const passedMs = nowMs - existing.filledAtMs;
-    const filled = (passedMs * limit.perSecond * this.share) / MS_PER_SECOND;
-    existing.filledAtMs = nowMs;
     existing.limit = limit;
-    existing.level = Math.min(this.capacityOf(limit), existing.level + filled);
-    const ownFilled = filled * this.unconfirmedShare;
-    existing.unconfirmed = Math.max(0, existing.unconfirmed - ownFilled);
+    this.fill(existing, nowMs);
     return existing;
   }
 
+  /** Adds what has come in since a bucket was filled last. */
+  private fill(bucket: Bucket, nowMs: number): void {
+    const {limit, filledAtMs} = bucket;
+    const passedMs = nowMs - filledAtMs;
+    const filled = (passedMs * limit.perSecond * this.share) / MS_PER_SECOND;
+    bucket.filledAtMs = nowMs;
+    bucket.level = Math.min(this.capacityOf(limit), bucket.level + filled);
+    const ownFilled = filled * this.unconfirmedShare;
+    bucket.unconfirmed = Math.max(0, bucket.unconfirmed - ownFilled);
+  }
+
   /** Part of what is left, and of the refill, that one member may use alone. */
   private get unconfirmedShare(): number {
     if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return 1;
-    return Math.min(1, UNCONFIRMED_SHARES / this.memberCount);
+    // Of a share, only the members that it is for can use the same units.
+    const sharing = Math.max(1, this.share * this.memberCount);
+    return Math.min(1, UNCONFIRMED_SHARES / sharing);
   }
 
   /**
@@ -205,8 +262,13 @@
   private unconfirmedLimit({level, unconfirmed, limit}: Bucket): number {
     if (this.memberCount <= MAX_UNLIMITED_MEMBERS) return Infinity;
     const left = Math.max(0, level + unconfirmed);
+    return this.unconfirmedShare * left + this.unconfirmedToleranceOf(limit);
+  }
+
+  /** One member's part of the tolerance for what is not exchanged yet. */
+  private unconfirmedToleranceOf(limit: QuotaLimit): number {
     const tolerated = (1 - QUOTA_TOLERANCE_SHARE) * this.maxExcessOf(limit);
-    return this.unconfirmedShare * left + tolerated / this.memberCount;
+    return tolerated / this.memberCount;
   }
 
   /**
