Accept the connections that wait before a stop closes the listener

Cause: Node.js accepts one connection in a turn of its loop. Where turns take 25 to 50 ms, connections wait for seconds in the backlog of the listener, and its close resets them. The class: input that has arrived is decided on before it has all been read. Evidence: 'answers requests on connections that it had not accepted before a stop' failed before (1 of 40 answered). Change: before it closes the listener, a stop accepts connections, and refuses their requests as not run, until a turn brings none, for 1.5 s at most. Ruled out: to accept more in a turn, as Node.js 20 has no way to.

--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -1,5 +1,6 @@
 import {sleep} from '@fescuespool/common';
 import type {Server} from 'node:http';
+import {whenBacklogAccepted} from './accept_backlog.js';
 import type {CallerServer} from './caller_server.js';
 import type {IdleConnections} from './idle_connections.js';
 import {
@@ -32,6 +33,7 @@
   members.leave();
   await sleep(DEREGISTRATION_DELAY_MS);
   callerServer.refuseNewRequests();
+  await whenBacklogAccepted(callerHttpServer, clock);
   callerHttpServer.close();
   callerHttpServer.closeIdleConnections();
   const limitMs = Math.max(0, endsAtMs - clock.monotonicMs());
