Count the grace of a stop from when its signal may have come

Evidence: 'answers what is open within the grace, 900 ms late' failed before (4302 ms after the signal, grace 4000). Change: StallWatch notes ten times a second that the process runs, and a stop takes off the grace what it may have missed. gateway_stopping tells it as lateMs.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -9,4 +9,5 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './on_demand_interval.js';
+export * from './stall_watch.js';
 export * from './types.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,14 +345,14 @@
 
   /**
    * Shuts down gracefully: fails the readiness check and waits until all requests
-   * have their responses.
+   * have their responses. The signal to stop may be `lateMs` milliseconds old.
    */
-  async stop(): Promise<void> {
+  async stop(lateMs = 0): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
     const {callerServer, callerHttpServer, idleConnections} = this;
     const servers = {callerServer, callerHttpServer, idleConnections};
-    await stopGracefully(this.context, servers);
+    await stopGracefully(this.context, servers, lateMs);
   }
 
   /** Closes all servers, connections and timers immediately. */
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -25,9 +25,13 @@
 export async function stopGracefully(
   {clock, log, members, settings, stopGate, upstreamPaths}: GatewayContext,
   {callerServer, callerHttpServer, idleConnections}: StoppedServers,
+  /** Milliseconds that may have passed since the signal to stop. */
+  lateMs: number,
 ): Promise<void> {
-  const endsAtMs = clock.monotonicMs() + settings.stopGraceMs - STOP_MARGIN_MS;
-  log.info('gateway_stopping', {open: callerServer.openResponseCount});
+  const graceMs = settings.stopGraceMs - lateMs;
+  const endsAtMs = clock.monotonicMs() + graceMs - STOP_MARGIN_MS;
+  const open = callerServer.openResponseCount;
+  log.info('gateway_stopping', {open, lateMs: Math.round(lateMs)});
   stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS);
   callerServer.isDraining = true;
   members.leave();
