Let begun work go into debt by half of what it could

What callers could get: more than a quota over all members, for an account that presses and takes up many streams while the members lose each other and find each other again. Cause: a member let a stream that is taken up use .7/N of the tolerance beyond what is left. That part is also used by what is not exchanged at the start of a cut. Change: .35/N, BEGUN_WORK_SHARE.

--- a/packages/scheduling/src/constants.ts
+++ b/packages/scheduling/src/constants.ts
@@ -209,6 +209,12 @@
 /** Time in milliseconds for which what an upstream said of its limit counts. */
 export const LIMIT_STATEMENT_TTL_MS = 30_000;
 
+/**
+ * Share of a quota's tolerance that begun work may use beyond what is left, over all
+ * members.
+ */
+export const BEGUN_WORK_SHARE = 0.35;
+
 /** Share of a quota's tolerance that one member's bucket may use. */
 export const QUOTA_TOLERANCE_SHARE = 0.3;
 
--- a/packages/scheduling/src/large_fleet_quota.test.ts
+++ b/packages/scheduling/src/large_fleet_quota.test.ts
@@ -14,6 +14,8 @@
 /** Silence after which a member keeps to its share, and of a new hub. */
 const SILENCE_TIMEOUT_MS = 1_200;
 const HUB_SETTLE_MS = 600;
+/** A cut so short that one window holds its start and its end. */
+const CUT_MS = 6_000;
 /** When all members are killed, and back with nothing known. */
 const KILL = {atMs: 10_000, backAtMs: 11_000};
 
@@ -28,8 +30,12 @@
   readonly units?: number;
   /** Part of its requests that go on with what has begun. */
   readonly begunPart?: number;
-  /** When the members lose each other, and in groups of how many they do. */
-  readonly cut?: {readonly atMs: number; readonly groupSize: number};
+  /** When the members lose each other, in groups of how many, until when. */
+  readonly cut?: {
+    readonly atMs: number;
+    readonly groupSize: number;
+    readonly untilMs: number;
+  };
 }
 
 /** Returns a generator of numbers from 0 to 1. */
@@ -64,7 +70,8 @@
   };
   const exchange = (i: number, nowMs: number): void => {
     const ledger = ledgers[i]!;
-    const cutForMs = cut ? nowMs - cut.atMs : -1;
+    const isOver = cut !== undefined && nowMs >= cut.untilMs;
+    const cutForMs = cut && !isOver ? nowMs - cut.atMs : -1;
     let next = {share: 1 / members, coveredPart: 0};
     if (cutForMs >= 0 && cutForMs < SILENCE_TIMEOUT_MS) return;
     if (cutForMs >= 0 && shares[i] === 1) {
@@ -75,9 +82,12 @@
     if (cutForMs < 0 || groupSize > 1) {
       const group = cutForMs < 0 ? 0 : Math.floor(i / groupSize);
       const usage = ledger.takeUnreported();
+      // The hub of the first group answers the others when they are back.
+      const isOtherHub = isOver && i >= groupSize && shares[i]! < 1;
       const answer = hubs[group]!.exchange(String(i), usage, nowMs);
       next = shareAfterExchange(shares[i]!, answer.heard, members);
-      ledger.applyOthersUsage(answer.others, next.coveredPart);
+      const coveredPart = isOtherHub ? 0 : next.coveredPart;
+      ledger.applyOthersUsage(answer.others, coveredPart);
     }
     shares[i] = next.share;
     ledger.setShare(next.share, nowMs);
@@ -150,9 +160,11 @@
       for (const burst of [50_000, 150_000, 400_000]) {
         // With full buckets, and with spent ones.
         for (const atMs of [50, 10_000]) {
-          const cut = {atMs, groupSize};
-          const {fullest} = play({...load, burst, cut});
-          expect(fullest).toBeLessThanOrEqual(boundOf(burst));
+          for (const untilMs of [atMs + CUT_MS, DAY_MS]) {
+            const cut = {atMs, groupSize, untilMs};
+            const {fullest} = play({...load, burst, cut});
+            expect(fullest).toBeLessThanOrEqual(boundOf(burst));
+          }
         }
       }
     },
--- a/packages/scheduling/src/token_quota.ts
+++ b/packages/scheduling/src/token_quota.ts
@@ -1,5 +1,6 @@
 import {MS_PER_SECOND} from '@fescuespool/common';
 import {
+  BEGUN_WORK_SHARE,
   MAX_RESERVED_PRIORITIES,
   MAX_UNLIMITED_MEMBERS,
   QUOTA_RESERVE_PER_PRIORITY,
@@ -127,7 +128,7 @@
     const bucket = this.bucketOf(account, limit, nowMs);
     const reserve =
       priority === BEGUN
-        ? -this.unconfirmedToleranceOf(limit)
+        ? -this.maxDebtOf(limit)
         : QUOTA_RESERVE_PER_PRIORITY *
           Math.min(priority, MAX_RESERVED_PRIORITIES) *
           limit.burst *
@@ -265,6 +266,11 @@
     return this.unconfirmedShare * left + this.unconfirmedToleranceOf(limit);
   }
 
+  /** What one member may let begun work use beyond what is left. */
+  private maxDebtOf(limit: QuotaLimit): number {
+    return (BEGUN_WORK_SHARE * this.maxExcessOf(limit)) / this.memberCount;
+  }
+
   /** One member's part of the tolerance for what is not exchanged yet. */
   private unconfirmedToleranceOf(limit: QuotaLimit): number {
     const tolerated = (1 - QUOTA_TOLERANCE_SHARE) * this.maxExcessOf(limit);
