End requests of a stop as early as a scarce core needs

A gateway that stops with little of a core was still ending its requests when it was killed.

Cause: the ends of all open requests begin 600 ms before the kill, whatever they need: a margin in fixed milliseconds for work that grows with what is open and slows with the share of a core that the process gets. The response came after the abort of the send and its log lines, which take more of the processor.

Ruled out: connections closed by a stop that believes to have answered (gateway_stopped was not reached).

Change: a process that stops measures its pace, and ends as many requests before as it could not answer any more (endableCount, StopEnds), those that no upstream has first. Answers go out before sends are aborted. Below a quarter of a core, no other upstream is sought for a silent one.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -14,22 +14,19 @@
 import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
-import {isStream} from './open_request.js';
+import {isRepeatable, isStream} from './open_request.js';
 import type {OpenResponseCounts} from './open_responses.js';
 import {OpenResponses} from './open_responses.js';
 import {partIds} from './prompt_parts.js';
 import type {ReceivedBody} from './request_body.js';
-import {
-  discardRest,
-  isRestUnwanted,
-  limitRest,
-  readRequestBody,
-} from './request_body.js';
+import {readRequestBody} from './request_body.js';
+import {sendRefusal} from './refusal_response.js';
 import {RequestTimer} from './request_timer.js';
 import {RequestRun} from './request_run.js';
+import type {EndRank} from './stop_policy.js';
+import {END_RANK} from './stop_policy.js';
 import type {RequestHead} from './types.js';
 
-const MS_PER_SECOND = 1_000;
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** Node.js parses other paths too, such as those with a tab, but sends none. */
 const SENDABLE_PATH = /^[\u0021-\u00ff]+$/;
@@ -73,7 +70,7 @@
 
   /** Whether a request has been sent to an upstream. */
   isPassedOn(res: ServerResponse): boolean {
-    return Number(this.runs.get(res)?.summary['sends'] ?? 0) > 0;
+    return (this.runs.get(res)?.sends.count ?? 0) > 0;
   }
 
   /** Whether the response to a request may be cut off after it has begun. */
@@ -94,16 +91,24 @@
     waitedMs: number,
   ): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res, waitedMs);
-    this.gateway.stopGate.add(timer);
-    this.openCount++;
-    this.openResponses.add(res);
-    this.closeAfterLastResponse(req, res);
     let head: RequestHead | null = null;
     let run: RequestRun | null = null;
     let admission: Admission | null = null;
+    let refusal: GatewayRefusalError | null = null;
+    this.gateway.stopGate.add(timer, {
+      rank: () => endRankOf(res, admission, run),
+      answer: () => {
+        const early = refusalBeforeEnd(res, admission, run);
+        if (!early) return false;
+        refusal = this.refuse(req, res, head, early, timer.hasCallerLeft);
+        return refusal !== null;
+      },
+    });
+    this.openCount++;
+    this.openResponses.add(res);
+    this.closeAfterLastResponse(req, res);
     let body: ReceivedBody | null = null;
     let isCharged = false;
-    let refusal: GatewayRefusalError | null = null;
     try {
       head = this.gateway.wireFormat.parseRequest(req);
       const isTooLong = (head?.requestId.length ?? 0) > MAX_REQUEST_ID_LENGTH;
@@ -142,7 +147,7 @@
       this.runs.set(res, run);
       await run.run();
     } catch (e) {
-      refusal = this.refuse(req, res, head, e, timer.hasCallerLeft);
+      refusal ??= this.refuse(req, res, head, e, timer.hasCallerLeft);
     } finally {
       timer.stop();
       body?.release();
@@ -276,40 +281,10 @@
       this.gateway.log.warn('response_cut', {id: head?.requestId, reason});
       return refusal;
     }
-    this.sendRefusal(req, res, head, refusal);
+    sendRefusal(this.gateway, this.chunkPacer, {req, res, head, refusal});
     return refusal;
   }
 
-  private sendRefusal(
-    req: IncomingMessage,
-    res: ServerResponse,
-    head: RequestHead | null,
-    refusal: GatewayRefusalError,
-  ): void {
-    const {reason, status, retryAfterMs} = refusal;
-    const body = `${JSON.stringify({reason})}\n`;
-    const headers = this.gateway.wireFormat.ownResponseHeaders(
-      head?.requestId ?? null,
-    );
-    headers.push('Content-Type', 'application/json');
-    headers.push('Content-Length', String(Buffer.byteLength(body)));
-    if (retryAfterMs !== null) {
-      const seconds = (retryAfterMs / MS_PER_SECOND).toFixed(3);
-      headers.push('Retry-After', seconds);
-    }
-    if (!isRestUnwanted(req)) {
-      res.writeHead(status, headers);
-      res.end(body);
-      limitRest(req, res);
-      return;
-    }
-    this.gateway.metrics.recordUnruly('body_unwanted');
-    res.shouldKeepAlive = false;
-    res.writeHead(status, headers);
-    res.write(body);
-    discardRest(req, this.chunkPacer, () => res.end());
-  }
-
   private logEnd(
     res: ServerResponse,
     head: RequestHead | null,
@@ -368,3 +343,27 @@
 ): void {
   timer.setTimeLimit(Math.min(timeoutMs, deadlineMs ?? timeoutMs));
 }
+
+/** When a request has to be ended in a stop, compared with others. */
+function endRankOf(
+  res: ServerResponse,
+  admission: Admission | null,
+  run: RequestRun | null,
+): EndRank {
+  if (res.headersSent) return END_RANK.BEGUN;
+  if (!admission || !run?.sends.count) return END_RANK.NOT_PASSED_ON;
+  return isRepeatable(admission.route) ? END_RANK.REPEATABLE : END_RANK.ONCE;
+}
+
+/** What a request can be refused with before its run has ended; null if nothing. */
+function refusalBeforeEnd(
+  res: ServerResponse,
+  admission: Admission | null,
+  run: RequestRun | null,
+): GatewayRefusalError | null {
+  if (!admission || !run || res.headersSent) return null;
+  if (run.sends.count === 0) return createStoppingRefusal();
+  // A stream might be written to in the meantime.
+  if (!run.sends.awaitsUpstream || isStream(admission.route)) return null;
+  return new GatewayRefusalError(GATEWAY_REFUSAL.UPSTREAM_TIMEOUT);
+}
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -25,9 +25,10 @@
   {clock, log, members, settings, stopGate, upstreamPaths}: GatewayContext,
   {callerServer, callerHttpServer, idleConnections}: StoppedServers,
 ): Promise<void> {
-  const endsAtMs = clock.monotonicMs() + settings.stopGraceMs - STOP_MARGIN_MS;
+  const exitAtMs = clock.monotonicMs() + settings.stopGraceMs;
+  const endsAtMs = exitAtMs - STOP_MARGIN_MS;
   log.info('gateway_stopping', {open: callerServer.openResponseCount});
-  stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS);
+  stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS, exitAtMs);
   callerServer.isDraining = true;
   members.leave();
   await sleep(DEREGISTRATION_DELAY_MS);
@@ -40,7 +41,9 @@
     upstreamPaths.tunnels.whenIdle(),
   ];
   await Promise.race([Promise.all(idle), sleep(limitMs)]);
+  stopGate.close();
   log.info('gateway_stopped', {
+    endedEarly: stopGate.endedEarly,
     cut: callerServer.openResponseCount,
     ...callerServer.countOpenResponses(),
   });
--- a/packages/gateway/src/open_request.ts
+++ b/packages/gateway/src/open_request.ts
@@ -54,12 +54,14 @@
   );
 }
 
-/** Sends a buffered response to the caller. */
+/** Sends a buffered response to the caller, unless it has got one. */
 export function sendBufferedResponse(
   {req, res}: OpenRequest,
   wire: WireFormat,
   response: BufferedResponse,
 ): void {
+  // Answered before its send was aborted, as the gateway stops.
+  if (res.writableEnded) return;
   const headers = wire.callerResponseHeaders(response.rawHeaders);
   if (req.method !== 'HEAD') {
     headers.push('Content-Length', String(response.body.length));
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -21,26 +21,22 @@
 import {pickTarget} from './route_table.js';
 import {findResumePlace} from './resume_place.js';
 import {RunRefusals} from './run_refusal.js';
+import {SendRecord} from './send_record.js';
 import type {SendOutcome} from './send_outcome.js';
 import type {StreamProgress} from './stream_relay.js';
 import {TriedUpstreams} from './tried_upstreams.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
-import type {BufferedResponse} from './response_body.js';
 
 /**
  * Runs one request: waits for a placement, sends the request to that upstream,
  * and retries where the route permits it.
  */
 export class RequestRun {
-  /** Sends of which any byte may have reached an upstream. */
-  private possibleArrivals = 0;
-  /** Sends after which the upstream may have run the request. */
-  private possibleRuns = 0;
-  private sends = 0;
+  /** What is known of its sends. */
+  readonly sends = new SendRecord();
   private queuedMs = 0;
   /** Grants returned because their upstreams were paused. */
   private pausedGrants = 0;
-  private errorResponse: BufferedResponse | null = null;
   private readonly tried: TriedUpstreams;
   private readonly refusals: RunRefusals;
   private readonly progress: StreamProgress;
@@ -76,15 +72,15 @@
 
   /** Whether it is certain that no upstream has run the request. */
   get hasNotRun(): boolean {
-    return this.possibleRuns === 0;
+    return this.sends.possibleRuns === 0;
   }
 
   /** Log fields of the events `request_ended` and `request_refused`. */
   get summary(): Record<string, string | number | undefined> {
     return {
       service: this.service,
-      sends: this.sends,
-      runs: this.possibleRuns,
+      sends: this.sends.count,
+      runs: this.sends.possibleRuns,
       queuedMs: Math.round(this.queuedMs),
       firstEventMs: this.progress.firstEventMs ?? undefined,
       longestGapMs: this.progress.longestGapMs ?? undefined,
@@ -178,8 +174,8 @@
   private async attempt(placement: Grant): Promise<SendOutcome> {
     const {route} = this.request.admission;
     const mayRepeat =
-      isRepeatable(route) && this.possibleRuns + 1 < route.maxAttempts;
-    this.sends++;
+      isRepeatable(route) && this.sends.possibleRuns + 1 < route.maxAttempts;
+    this.sends.begin();
     const attempt = new UpstreamAttempt(
       this.gateway,
       this.request,
@@ -191,13 +187,11 @@
               this.seekOther(placement.upstream, signal, onFound)
           : null,
         service: this.service,
-        send: this.sends,
+        send: this.sends.count,
       },
     );
     const outcome = await attempt.run();
-    if (outcome.mayHaveArrived) this.possibleArrivals++;
-    if (outcome.mayHaveRun) this.possibleRuns++;
-    if (outcome.errorResponse) this.errorResponse = outcome.errorResponse;
+    this.sends.end(outcome);
     if (!outcome.isDone) this.tried.recordFailure(placement.upstream, outcome);
     const {softwareVersion} = this.progress;
     // The stream may have begun just before it was abandoned.
@@ -212,7 +206,7 @@
     signal: AbortSignal,
     onFound: () => void,
   ): Promise<void> {
-    if (!this.mayGoOnElsewhere) return;
+    if (!this.mayGoOnElsewhere || this.gateway.stopGate.isShortOfCore) return;
     const {requestId} = this.request.head;
     const excluded = [...this.tried.excluded, instanceId];
     const request = {
@@ -250,7 +244,7 @@
   /** Whether another upstream could do what is left of the request. */
   private get mayGoOnElsewhere(): boolean {
     const {timer} = this.request;
-    if (timer.isOver || this.sends > MAX_REJECTED_SENDS) return false;
+    if (timer.isOver || this.sends.count > MAX_REJECTED_SENDS) return false;
     // Another upstream could only go on if the version that began were known.
     const {firstEventMs, softwareVersion} = this.progress;
     return firstEventMs === null || softwareVersion !== null;
@@ -262,7 +256,7 @@
     const {admission} = this.request;
     return (
       isRepeatable(admission.route) &&
-      this.possibleRuns < admission.route.maxAttempts
+      this.sends.possibleRuns < admission.route.maxAttempts
     );
   }
 
@@ -292,7 +286,7 @@
         service: this.service,
         reason: answer.reason,
         version: this.progress.softwareVersion ?? undefined,
-        runs: this.possibleRuns,
+        runs: this.sends.possibleRuns,
       });
       if (answer.reason === QUEUE_REFUSAL.NO_VERSION) {
         if (this.versionToBegin === null) {
@@ -314,7 +308,7 @@
   private logPlacement(grant: Grant): void {
     const {gateway, service, sends, request} = this;
     const id = request.head.requestId;
-    logPlacement(gateway, grant, {id, service, send: sends + 1});
+    logPlacement(gateway, grant, {id, service, send: sends.count + 1});
   }
 
   /** Returns a grant that may not be used; waits a little if it is paused. */
@@ -360,7 +354,7 @@
 
   private createGrantRequest(): GrantRequest {
     return createGrantRequest(this.gateway, this.request, this.progress, {
-      isRetry: this.possibleArrivals > 0,
+      isRetry: this.sends.possibleArrivals > 0,
       isAskedAgain: this.asks++ > 0,
       excluded: this.tried.excluded,
       avoidedZones: this.tried.avoidedZones,
@@ -379,12 +373,9 @@
    * false if there is none or the stream has already begun.
    */
   private sendErrorResponse(): boolean {
-    if (!this.errorResponse || this.progress.hasSentHead) return false;
-    sendBufferedResponse(
-      this.request,
-      this.gateway.wireFormat,
-      this.errorResponse,
-    );
+    const {errorResponse} = this.sends;
+    if (!errorResponse || this.progress.hasSentHead) return false;
+    sendBufferedResponse(this.request, this.gateway.wireFormat, errorResponse);
     return true;
   }
 }
--- a/packages/gateway/src/request_timer.ts
+++ b/packages/gateway/src/request_timer.ts
@@ -15,6 +15,8 @@
   private ownLimitMs = Infinity;
   /** Limit by the end of a gateway that stops. */
   private stopLimitMs = Infinity;
+  /** Called at that limit in place of an abort. */
+  private onStopLimit: () => void = () => this.abort();
 
   constructor(
     private readonly clock: Clock,
@@ -67,12 +69,28 @@
     this.setTimer();
   }
 
-  /** Limits the request to a time in milliseconds from now as well. */
-  limitByStop(leftMs: number): void {
+  /**
+   * Limits the request to a time in milliseconds from now as well; `onLimit` is
+   * called then, and has to see to it that the signal is aborted.
+   */
+  limitByStop(leftMs: number, onLimit: () => void): void {
     this.stopLimitMs = this.elapsedMs + leftMs;
+    this.onStopLimit = onLimit;
     this.setTimer();
   }
 
+  /** Ends the request at once, as the gateway stops. */
+  endByStop(): void {
+    this.stop();
+    this.stopLimitMs = Math.min(this.stopLimitMs, this.elapsedMs);
+    this.onStopLimit();
+  }
+
+  /** Aborts the signal. */
+  abort(): void {
+    this.controller.abort();
+  }
+
   /** Cancels the timer of the time limit. */
   stop(): void {
     if (this.timer) clearTimeout(this.timer);
@@ -81,6 +99,11 @@
   private setTimer(): void {
     this.stop();
     const leftMs = Math.max(0, this.remainingMs - TIMEOUT_MARGIN_MS);
-    this.timer = setTimeout(() => this.controller.abort(), leftMs);
+    this.timer = setTimeout(() => this.handleLimit(), leftMs);
+  }
+
+  private handleLimit(): void {
+    if (this.endsWithGateway) this.onStopLimit();
+    else this.abort();
   }
 }
--- a/packages/gateway/src/stop_gate.ts
+++ b/packages/gateway/src/stop_gate.ts
@@ -1,9 +1,13 @@
 import type {Clock, Logger} from '@fescuespool/common';
+import type {StoppableRequest} from './stop_ends.js';
+import {StopEnds} from './stop_ends.js';
 import type {OpenRequest} from './open_request.js';
 import type {RequestTimer} from './request_timer.js';
 import type {RunTimes, StartInputs} from './stop_policy.js';
 import {latestStartMs} from './stop_policy.js';
 
+const US_PER_MS = 1_000;
+
 /** A request that waits for an upstream. */
 export interface StartWait {
   /** Aborted once the request can't begin any more or its time is over. */
@@ -27,7 +31,8 @@
   private endsAtMs = Infinity;
   private readonly waits = new Set<OpenWait>();
   /** Timers of the requests that have no complete response. */
-  private readonly openTimers = new Set<RequestTimer>();
+  private readonly open = new Map<RequestTimer, StoppableRequest>();
+  private ends: StopEnds | null = null;
 
   constructor(
     private readonly clock: Clock,
@@ -35,27 +40,50 @@
     private readonly runTimes: RunTimes,
   ) {}
 
-  /** Begins the grace, at whose end in monotonic milliseconds all is answered. */
-  beginGrace(endsAtMs: number): void {
+  /** Number of requests that had to be ended before the end of the grace. */
+  get endedEarly(): number {
+    return this.ends?.endedEarly ?? 0;
+  }
+
+  /** Whether the process stops and gets too little of a core for what can wait. */
+  get isShortOfCore(): boolean {
+    return this.ends?.isShortOfCore ?? false;
+  }
+
+  /**
+   * Begins the grace, at whose end all is answered; the process is ended by force
+   * at `exitAtMs`. Both are monotonic times in milliseconds.
+   */
+  beginGrace(endsAtMs: number, exitAtMs: number): void {
+    const {clock, log, open} = this;
     this.endsAtMs = endsAtMs;
-    for (const timer of this.openTimers) this.limit(timer);
+    this.ends = new StopEnds(clock, log, open, exitAtMs, usedCpuMs);
+    for (const timer of this.open.keys()) this.limit(timer);
     for (const wait of this.waits) this.limitWait(wait);
   }
 
+  /** Ends the grace. */
+  close(): void {
+    this.ends?.close();
+  }
+
   /** Ends a request with the grace, at the latest. */
-  add(timer: RequestTimer): void {
-    this.openTimers.add(timer);
+  add(timer: RequestTimer, request: StoppableRequest): void {
+    this.open.set(timer, request);
+    this.ends?.measure();
     if (this.endsAtMs < Infinity) this.limit(timer);
   }
 
   /** Forgets a request that has ended. */
   remove(timer: RequestTimer): void {
-    this.openTimers.delete(timer);
+    this.open.delete(timer);
+    this.ends?.measure();
   }
 
   /** Whether a request may begin now. */
   mayBegin(request: OpenRequest): boolean {
     if (this.endsAtMs === Infinity) return true;
+    if (request.res.writableEnded) return false;
     return latestStartMs(this.inputsFor(request)) >= 0;
   }
 
@@ -74,6 +102,7 @@
 
   /** Begins the wait of a request for an upstream. */
   wait(request: OpenRequest): StartWait {
+    this.ends?.measure();
     const controller = new AbortController();
     const wait: OpenWait = {request, controller, timer: null};
     const abort = (): void => controller.abort();
@@ -102,7 +131,8 @@
   }
 
   private limit(timer: RequestTimer): void {
-    timer.limitByStop(this.endsAtMs - this.clock.monotonicMs());
+    const leftMs = this.endsAtMs - this.clock.monotonicMs();
+    timer.limitByStop(leftMs, () => this.ends?.end(timer));
   }
 
   private inputsFor({admission, timer}: OpenRequest): StartInputs {
@@ -113,3 +143,9 @@
     };
   }
 }
+
+/** Processor time in milliseconds that the process has used. */
+function usedCpuMs(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / US_PER_MS;
+}
--- a/packages/gateway/src/stop_policy.test.ts
+++ b/packages/gateway/src/stop_policy.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {latestStartMs, RunTimes} from './stop_policy.js';
+import {endableCount, latestStartMs, RunTimes} from './stop_policy.js';
 import type {Route} from './types.js';
 
 const IDEMPOTENT = {name: 'read', kind: 'idempotent'} as Route;
@@ -51,3 +51,41 @@
     expect(timesOf(ONCE, times).expectedMs(ONCE)).toBe(100);
   });
 });
+
+describe('the number of requests that a process which stops can still answer', () => {
+  const WHOLE_CORE = {coreShare: 1, longestStallMs: 0, endCostMs: 0.5};
+
+  it('is large up to the last responses if it has a whole core', () => {
+    // So many requests would take a second of processor time to end.
+    expect(endableCount({...WHOLE_CORE, leftMs: 2_200})).toBeGreaterThan(2_000);
+    expect(endableCount({...WHOLE_CORE, leftMs: 600})).toBe(500);
+  });
+
+  it('shrinks with what the process gets of a core', () => {
+    const counts = [1, 0.12, 0.06, 0.01].map(coreShare =>
+      endableCount({...WHOLE_CORE, leftMs: 2_100, coreShare}),
+    );
+    expect(counts).toEqual([2_000, 240, 120, 20]);
+  });
+
+  it('leaves out the time of further stalls', () => {
+    const inputs = {...WHOLE_CORE, leftMs: 2_100, longestStallMs: 90};
+    expect(endableCount(inputs)).toBe(1_730);
+    expect(endableCount({...inputs, longestStallMs: 450})).toBe(650);
+  });
+
+  it('is not none for a single long stall, with seconds left', () => {
+    const inputs = {...WHOLE_CORE, coreShare: 0.25, longestStallMs: 1_900};
+    expect(endableCount({...inputs, leftMs: 5_600})).toBe(1_000);
+  });
+
+  it('falls with what each of them takes', () => {
+    const inputs = {...WHOLE_CORE, leftMs: 2_100, endCostMs: 2};
+    expect(endableCount(inputs)).toBe(500);
+  });
+
+  it('is none when no time is left', () => {
+    expect(endableCount({...WHOLE_CORE, leftMs: 50})).toBe(0);
+    expect(endableCount({...WHOLE_CORE, leftMs: -50})).toBe(0);
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,10 @@
 import {configDefaults, defineConfig} from 'vitest/config';
 
 /** Tests that measure a process and so run after the others, one file at a time. */
-const ALONE = ['platform/src/unruly_callers.test.ts'];
+const ALONE = [
+  'platform/src/starved_stop.test.ts',
+  'platform/src/unruly_callers.test.ts',
+];
 
 export default defineConfig({
   test: {
