--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -28,11 +28,11 @@
   /** Milliseconds that may have passed since the signal to stop. */
   lateMs: number,
 ): Promise<void> {
-  const graceMs = settings.stopGraceMs - lateMs;
-  const endsAtMs = clock.monotonicMs() + graceMs - STOP_MARGIN_MS;
+  const exitAtMs = clock.monotonicMs() + settings.stopGraceMs - lateMs;
+  const endsAtMs = exitAtMs - STOP_MARGIN_MS;
   const open = callerServer.openResponseCount;
   log.info('gateway_stopping', {open, lateMs: Math.round(lateMs)});
-  stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS);
+  stopGate.beginGrace(endsAtMs - LAST_RESPONSE_MARGIN_MS, exitAtMs);
   callerServer.isDraining = true;
   members.leave();
   await sleep(DEREGISTRATION_DELAY_MS);
@@ -49,7 +49,9 @@
     upstreamPaths.tunnels.whenIdle(),
   ];
   await Promise.race([Promise.all(idle), sleep(limitMs)]);
+  stopGate.close();
   log.info('gateway_stopped', {
+    endedEarly: stopGate.endedEarly,
     cut: callerServer.openResponseCount,
     ...callerServer.countOpenResponses(),
   });
