--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -1,4 +1,5 @@
 import type {Clock, Logger} from '@fescuespool/common';
+import {whenInputRead} from '@fescuespool/common';
 import type http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -86,7 +87,7 @@
 
   /** Closes the connections that have no open request and none that has begun. */
   private async closeIdle(): Promise<void> {
-    await nextRead();
+    await whenInputRead();
     for (const [socket, readBytes] of this.readBytes) {
       const isIdle = !this.openRequests.has(socket) && !socket.writableEnded;
       if (isIdle && socket.bytesRead === readBytes) this.end(socket);
@@ -115,7 +116,7 @@
   private closeUnlessRead(socket: Socket): void {
     const {bytesRead} = socket;
     // After a stall, timers run out before the bytes that came meanwhile are read.
-    void nextRead().then(() => {
+    void whenInputRead().then(() => {
       if (socket.bytesRead === bytesRead) this.close(socket);
     });
   }
@@ -142,9 +143,3 @@
     this.readBytes.delete(socket);
   }
 }
-
-/** Resolves once what had arrived on connections has been read. */
-async function nextRead(): Promise<void> {
-  // The first one may come before the events that a pass of the loop has left.
-  for (let i = 0; i < 2; i++) await new Promise(setImmediate);
-}
