--- a/packages/scheduling/src/lost_usage_answers.test.ts
+++ b/packages/scheduling/src/lost_usage_answers.test.ts
@@ -61,10 +61,13 @@
   TOLERANCE.extra;
 
 describe.each([1, 2, 3, 4, 5, 8, 31])('a quota in a fleet of %i', members => {
-  it.each([0, 0.3, 1])('is kept, with %d of the requests resumed', begunPart => {
-    const fullest = fullestWindow(members, begunPart, Infinity);
-    expect(fullest).toBeLessThanOrEqual(BOUND);
-  });
+  it.each([0, 0.3, 1])(
+    'is kept, with %d of the requests resumed',
+    begunPart => {
+      const fullest = fullestWindow(members, begunPart, Infinity);
+      expect(fullest).toBeLessThanOrEqual(BOUND);
+    },
+  );
 
   it('is kept if answers of the hub are lost', () => {
     const fullest = fullestWindow(members, 0, LOST_EVERY);
