Break responses off visibly for callers of every version without chunks

What callers saw: a stream that was cut looked complete to callers who say HTTP/0.9 or HTTP/2.0. Cause: Node.js parses both versions and sends them no chunks, so that the end of the connection is that of the response, but only HTTP/1.0 was looked for. Change: one function tells whether the end of a connection may be that of a response, for all versions but 1.1.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {
   endIncomplete,
+  mayBeDelimitedByEnd,
   resetIfIncomplete,
   whenHandedOver,
 } from './response_end.js';
@@ -167,8 +168,9 @@
     {req, res, readAtMs}: Exchange,
   ): void {
     pipeline.served.add(res);
-    if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
-    if (isHttp10(req)) resetIfIncomplete(socket, res);
+    const isUnmarked = mayBeDelimitedByEnd(req);
+    if (this.mayBeCut(req) || isUnmarked) pipeline.uncertain = res;
+    if (isUnmarked) resetIfIncomplete(socket, res);
     // Node.js would take with it what has been handed over and is not sent yet.
     res.destroy = err => this.endBehind(socket, pipeline, res, err);
     // A request that was destroyed has no socket any more.
@@ -294,11 +296,6 @@
   return headers.upgrade !== undefined;
 }
 
-/** Whether only the end of the connection may tell that of the response. */
-function isHttp10({httpVersion}: IncomingMessage): boolean {
-  return httpVersion === '1.0';
-}
-
 function closeIfDone(socket: Socket, pipeline: Pipeline): void {
   const {lastBytes} = pipeline;
   if (sizeOf(pipeline) > 0) return;
--- a/packages/gateway/src/response_end.ts
+++ b/packages/gateway/src/response_end.ts
@@ -1,4 +1,4 @@
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** Time in milliseconds for which the rest of a response is written before a reset. */
@@ -7,12 +7,18 @@
 /** Time in milliseconds in which a caller can take what was written before a reset. */
 const RESET_DELAY_MS = 500;
 
+/** Whether only the end of its connection may tell that of a request's response. */
+export function mayBeDelimitedByEnd({httpVersion}: IncomingMessage): boolean {
+  // Node.js sends chunks to callers of no other version.
+  return httpVersion !== '1.1';
+}
+
 /** Whether only the end of its connection tells that of a response. */
 export function isDelimitedByEnd({
   chunkedEncoding,
   req,
 }: ServerResponse): boolean {
-  return !chunkedEncoding && req.httpVersion === '1.0';
+  return !chunkedEncoding && mayBeDelimitedByEnd(req);
 }
 
 /**
