Cut a stream at its time limit also if its upstream has ended and its caller does not read

What callers saw: a caller that did not read kept its request, its grant and its place in a stop past the limit. Cause: the abort was inferred from the end of the upstream's response, which Node.js reports as an orderly one there. Evidence: 'ends at its time limit if its upstream has ended' failed before ('open'). Change: the relay listens to the abort itself while it waits for its caller.

--- a/packages/gateway/src/stream_relay.ts
+++ b/packages/gateway/src/stream_relay.ts
@@ -103,17 +103,22 @@
       // retry. The listener stays, as an error may follow.
       res.on('error', () => this.handleSourceEnd(false));
       res.once('close', () => this.handleSourceEnd(false));
+      this.options.signal.addEventListener('abort', this.handleAbort);
       if (res.destroyed) this.finish('broken');
     });
   }
 
-  /** Notes the end; the last bytes may still wait to be forwarded, but not for ever. */
+  /** Notes the end; the last bytes may still wait to be forwarded. */
   private handleSourceEnd(isOrderly: boolean): void {
     this.endsOrderly ??= isOrderly;
-    const isTooLate = !this.endsOrderly && this.options.signal.aborted;
-    if (!this.isWaiting || isTooLate) this.finishAtSourceEnd();
+    if (!this.isWaiting) this.finishAtSourceEnd();
   }
 
+  /** Ends the wait for a caller that does not read. */
+  private readonly handleAbort = (): void => {
+    if (this.isWaiting) this.finish('broken');
+  };
+
   private finishAtSourceEnd(): void {
     this.finish(this.endsOrderly ? this.judgeEnd() : 'broken');
   }
@@ -234,6 +239,7 @@
   private finish(end: RelayEnd): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    this.options.signal.removeEventListener('abort', this.handleAbort);
     this.options.share.release();
     if (end === 'complete') this.sendHead();
     const {eventCount, firstAtMs, lastAtMs} = this;
