Let the end of a response that was cut complete nothing

What callers saw: nothing, as no path of today's gateway does so; a response that is ended after it was destroyed, behind others of its connection, got its last chunk, and Node.js failed an assertion. Cause: a cut response is kept until those before it are sent, while its owner may go on to end it. Evidence: 'can be ended by its owner afterwards without looking complete' failed before. Change: its end does nothing, as it did when the connection was destroyed at once.

--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -229,6 +229,8 @@
   ): ServerResponse {
     if (res.destroyed) return res;
     res.destroyed = true;
+    // Its owner may end it later, which would complete it.
+    res.end = () => res;
     this.dropWaiting(pipeline);
     whenHandedOver(res, () => {
       if (socket.destroyed) return;
