Charge the heads of requests to the callers' budget, and parse one at a time

Cause: what a head is turned into was neither counted nor bounded. 990 fields in 11 KB hold 127 KB of heap, an incomplete head up to 8 bytes for each of its own, and a request with its response 4.7 KB however small it is. Node.js parses all that one read brings, up to 64 KB, and holds it until the connection ends, also when the gate has cut it.

Change: HeadBudget charges heads, whole and incomplete, on all servers. A head may take an eighth of what is left of a quarter of the budget; what waits is given up where most is held, then new requests are refused (503, not run), and those that are served never. The fixture of one test of the gate has a request with headers, as the gate frees those of a request that it leaves unserved.

--- a/packages/gateway/src/caller_budget.test.ts
+++ b/packages/gateway/src/caller_budget.test.ts
@@ -35,6 +35,8 @@
       });
     return {budget, open, dropped, aborted};
   };
+  const openBody = (budget: CallerBudget, abort: () => void): BudgetShare =>
+    budget.openBody({requestId: 'body', owner: '', abort});
 
   it('gives up the largest response, also for the bytes of another', () => {
     const {budget, open, dropped, aborted} = create();
@@ -67,6 +69,28 @@
     expect(budget.usedBytes).toBe(0);
   });
 
+  it('gives up no response for heads', () => {
+    const {budget, open, aborted} = create();
+    open('large').resize(950);
+    budget.heads.charge(200);
+    expect(aborted).toEqual([]);
+    expect(budget.usedBytes).toBe(950);
+  });
+
+  it('gives up bodies that hold more than their half for heads', () => {
+    const {budget} = create();
+    const aborted: number[] = [];
+    for (const bytes of [450, 400]) {
+      openBody(budget, () => aborted.push(bytes)).resize(bytes, 0);
+    }
+    budget.heads.charge(100);
+    expect(aborted).toEqual([]);
+    budget.heads.charge(100);
+    expect(aborted).toEqual([450]);
+    budget.heads.charge(600);
+    expect(aborted).toEqual([450]);
+  });
+
   it('takes nothing from a response that was given up', () => {
     const {budget, open} = create();
     const share = open('one');
--- a/packages/gateway/src/caller_budget.ts
+++ b/packages/gateway/src/caller_budget.ts
@@ -1,5 +1,9 @@
 import type {Clock, Logger} from '@fescuespool/common';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import {HeadBudget} from './head_budget.js';
+
+/** Part of a budget that the heads of requests hold at most. */
+const HEAD_SHARE = 0.25;
 
 /** Part of a budget that bodies hold at least before any of them is dropped. */
 const BODY_SHARE = 0.5;
@@ -44,7 +48,8 @@
  * Chooses what is given up when too much is held; null if all is in use. Bodies go
  * first once they hold more than their half of the budget: of the large ones of the
  * account that holds the most, the one that has stalled with the most for the
- * longest, else the one that lacks the most. Else it is the largest response.
+ * longest, else the one that lacks the most. Else it is the largest response. For
+ * the bytes of heads, which are not among the holdings, no response is given up.
  */
 export function chooseDropped<T extends Holding>(
   holdings: Iterable<T>,
@@ -54,16 +59,18 @@
   const bodies: T[] = [];
   const responses: T[] = [];
   let bodyBytes = 0;
+  let heldBytes = 0;
   for (const holding of holdings) {
     const isBody = holding.kind === 'body';
     if (isBody) bodyBytes += holding.bytes;
+    heldBytes += holding.bytes;
     if (!holding.isComplete) (isBody ? bodies : responses).push(holding);
   }
   const body = (): T | null => leastPromising(bodies, nowMs);
   const response = (): T | null => maxBy(responses, ({bytes}) => bytes);
-  return bodyBytes > BODY_SHARE * budgetBytes
-    ? (body() ?? response())
-    : (response() ?? body());
+  const isBodiesExcess = bodyBytes > BODY_SHARE * budgetBytes;
+  if (heldBytes <= budgetBytes) return isBodiesExcess ? body() : null;
+  return isBodiesExcess ? (body() ?? response()) : (response() ?? body());
 }
 
 function leastPromising<T extends Holding>(
@@ -121,15 +128,17 @@
 }
 
 /**
- * Bounds the bytes of bodies and responses that are held for callers, over all
- * of them, so that those without end don't fail the others.
+ * Bounds the bytes of heads, bodies and responses that are held for callers, over
+ * all of them, so that those without end don't fail the others.
  */
 export class CallerBudget {
+  /** What heads hold of it. */
+  readonly heads: HeadBudget;
   private heldBytes = 0;
   private readonly shares = new Set<Share>();
 
   constructor(
-    /** Bytes that all bodies and responses may hold together. */
+    /** Bytes that all heads, bodies and responses may hold together. */
     private readonly budgetBytes: number,
     private readonly clock: Clock,
     private readonly log: Logger,
@@ -137,9 +146,12 @@
       GatewayMetrics,
       'recordResponseDropped' | 'recordUnruly'
     >,
-  ) {}
+  ) {
+    const headBytes = HEAD_SHARE * budgetBytes;
+    this.heads = new HeadBudget(headBytes, () => this.dropExcess());
+  }
 
-  /** Number of bytes that are held. */
+  /** Number of bytes that bodies and responses hold. */
   get usedBytes(): number {
     return this.heldBytes;
   }
@@ -190,8 +202,8 @@
   }
 
   private dropExcess(): void {
-    const {budgetBytes, clock} = this;
-    while (this.heldBytes > budgetBytes) {
+    const {budgetBytes, clock, heads} = this;
+    while (this.heldBytes + heads.heldBytes > budgetBytes) {
       const dropped = chooseDropped(
         this.shares,
         budgetBytes,
--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -8,13 +8,17 @@
   GATEWAY_REFUSAL,
   MAX_OPEN_REQUESTS,
   MAX_REQUEST_ID_LENGTH,
-  NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
 import {ResponseCutError} from './early_close.js';
-import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
+import {
+  createOverloadedRefusal,
+  createStoppingRefusal,
+  GatewayRefusalError,
+} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
 import {isStream} from './open_request.js';
+import {stripHead} from './head_budget.js';
 import type {OpenResponseCounts} from './open_responses.js';
 import {OpenResponses} from './open_responses.js';
 import {partIds} from './prompt_parts.js';
@@ -92,6 +96,8 @@
     req: IncomingMessage,
     res: ServerResponse,
     waitedMs: number,
+    /** Whether its head has room. */
+    hasRoom: boolean,
   ): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res, waitedMs);
     this.gateway.stopGate.add(timer);
@@ -106,6 +112,7 @@
     let refusal: GatewayRefusalError | null = null;
     try {
       head = this.gateway.wireFormat.parseRequest(req);
+      if (!hasRoom) this.refuseHead(req);
       const isTooLong = (head?.requestId.length ?? 0) > MAX_REQUEST_ID_LENGTH;
       if (!head || isTooLong || !SENDABLE_PATH.test(req.url ?? '')) {
         throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
@@ -193,13 +200,16 @@
     });
   }
 
+  private refuseHead(req: IncomingMessage): never {
+    stripHead(req);
+    this.gateway.metrics.recordUnruly('head_refused');
+    throw createOverloadedRefusal();
+  }
+
   private admit(req: IncomingMessage, head: RequestHead): Admission {
     const {configState, settings} = this.gateway;
     if (this.openCount > MAX_OPEN_REQUESTS) {
-      throw new GatewayRefusalError(
-        GATEWAY_REFUSAL.OVERLOADED,
-        NOT_READY_RETRY_AFTER_MS,
-      );
+      throw createOverloadedRefusal();
     }
     const maxAgeMs = settings.maxConfigAgeMs ?? Infinity;
     return admit(
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -1,5 +1,9 @@
 import {MIN_RETRY_AFTER_MS, QUEUE_REFUSAL} from '@fescuespool/scheduling';
-import {GATEWAY_REFUSAL, REFUSAL_STATUS} from './constants.js';
+import {
+  GATEWAY_REFUSAL,
+  NOT_READY_RETRY_AFTER_MS,
+  REFUSAL_STATUS,
+} from './constants.js';
 import type {GatewayRefusal} from './types.js';
 
 /** Why the gateway refuses a request, or could not complete it. */
@@ -37,6 +41,14 @@
   return new GatewayRefusalError(GATEWAY_REFUSAL.STOPPING, MIN_RETRY_AFTER_MS);
 }
 
+/** Refusal of a request that did not run, as this gateway has no room for it. */
+export function createOverloadedRefusal(): GatewayRefusalError {
+  return new GatewayRefusalError(
+    GATEWAY_REFUSAL.OVERLOADED,
+    NOT_READY_RETRY_AFTER_MS,
+  );
+}
+
 /** Refusal for the reason of a queue's refusal. */
 export function toGatewayRefusal(reason: string): GatewayRefusal {
   switch (reason) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 import {
   createGuardedServer,
   createGuards,
-  guardConnections,
+  guardTunnels,
 } from './guarded_server.js';
 import {IdleConnections} from './idle_connections.js';
 import {LimitObserver} from './limit_observer.js';
@@ -208,17 +208,18 @@
       metrics: this.metrics,
     };
     this.callerServer = new CallerServer(this.context);
-    const guardOf = createGuards(settings, log, this.metrics);
-    guardConnections(upstreamPaths.tunnels.server, guardOf('tunnels'));
+    const {heads} = this.context.callerBudget;
+    const guardOf = createGuards(settings, heads, log, this.metrics);
+    guardTunnels(upstreamPaths.tunnels.server, guardOf('tunnels'));
     this.callerHttpServer = createGuardedServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       },
       guardOf('callers'),
-      (req, res, waitedMs) => {
+      (req, res, waitedMs, hasRoom) => {
         this.idleConnections.handleRequest(req, res);
-        void this.callerServer.serve(req, res, waitedMs);
+        void this.callerServer.serve(req, res, waitedMs, hasRoom);
       },
       this.callerServer,
     );
--- a/packages/gateway/src/gateway_gauges.ts
+++ b/packages/gateway/src/gateway_gauges.ts
@@ -42,6 +42,7 @@
   gauge('upstream_paths_lost', '', upstreamPaths.lostCount);
   gauge('tunnels_open', '', upstreamPaths.tunnels.count);
   gauge('response_bytes_held', '', callerBudget.usedBytes);
+  gauge('head_bytes_held', '', callerBudget.heads.heldBytes);
   for (const [service, {record}] of rollouts.all) {
     if (!record) continue;
     const {state, isMoving, permitted, arrived, elapsedMs, routes} = record;
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -22,6 +22,9 @@
 /** Why a caller's request was refused unread, or its connection closed. */
 export type UnrulyReason =
   | 'requests_sent_ahead'
+  | 'head_dropped'
+  | 'head_refused'
+  | 'head_too_large'
   | 'body_dropped'
   | 'body_too_slow'
   | 'body_unwanted'
--- a/packages/gateway/src/guarded_server.test.ts
+++ b/packages/gateway/src/guarded_server.test.ts
@@ -6,27 +6,37 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {createGatewayMetrics} from './gateway_metrics.js';
 import {createGuardedServer} from './guarded_server.js';
+import {HeadBudget} from './head_budget.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
 const HEAD_TIMEOUT_MS = 200;
 const CONNECTIONS = 3;
+const HEAD_LIMIT_BYTES = 3_300_000;
+const MAX_HEADER_BYTES = 65_536;
 
 describe('createGuardedServer', () => {
   let server: http.Server;
   let clients: net.Socket[];
   let received: string;
   let open: ServerResponse[];
+  let heads: HeadBudget;
 
   beforeEach(async () => {
     open = [];
     clients = [];
     received = '';
+    heads = new HeadBudget(HEAD_LIMIT_BYTES);
     const write = (): void => undefined;
     server = createGuardedServer(
-      {headersTimeout: HEAD_TIMEOUT_MS, connectionsCheckingInterval: 50},
+      {
+        headersTimeout: HEAD_TIMEOUT_MS,
+        connectionsCheckingInterval: 50,
+        maxHeaderSize: MAX_HEADER_BYTES,
+      },
       {
         server: 'callers',
         maxConnections: CONNECTIONS,
+        heads,
         log: {debug: write, info: write, warn: write, error: write},
         metrics: createGatewayMetrics(),
       },
@@ -92,4 +102,16 @@
     await once(client, 'close');
     expect(statuses()).toEqual(['200']);
   });
+
+  it('answers open requests before it refuses a head that has no room', async () => {
+    const part = `GET / HTTP/1.1\r\nfield: ${'x'.repeat(60_000)}`;
+    const client = connect(REQUEST + part);
+    await until(() => open.length === 1);
+    expect(statuses()).toEqual([]);
+    open[0]!.end();
+    await once(client, 'close');
+    expect(statuses()).toEqual(['200', '503']);
+    expect(received).toContain('\r\nRetry-After: 0.500\r\n');
+    expect(heads.heldBytes).toBe(0);
+  });
 });
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -5,17 +5,29 @@
 import type {EarlyClose} from './early_close.js';
 import {describeEarlyClose} from './early_close.js';
 import type {GatewayMetrics, UnrulyReason} from './gateway_metrics.js';
+import type {HeadBudget} from './head_budget.js';
+import {stripHead} from './head_budget.js';
+import {lastResponse} from './last_response.js';
 import type {PipelineEvents, ServeRequest} from './pipeline_gate.js';
 import {PipelineGate} from './pipeline_gate.js';
+import type {FeedEvents} from './request_feed.js';
+import {feedRequests} from './request_feed.js';
 import type {GatewaySettings} from './settings.js';
 import {maxConnectionsOf} from './settings.js';
-import {answerUnservable, refuseWithoutHost} from './unservable_input.js';
+import {
+  answerUnservable,
+  refuseWithoutHost,
+  RETRY_AFTER,
+  SERVICE_UNAVAILABLE,
+} from './unservable_input.js';
 
 /** Limits of a server for callers that nobody controls. */
 export interface ServerGuard {
   /** Name of the server, for the log. */
   readonly server: 'callers' | 'ready' | 'metrics' | 'tunnels';
   readonly maxConnections: number;
+  /** Where the heads of its requests are charged. */
+  readonly heads: HeadBudget;
   readonly log: Logger;
   readonly metrics: GatewayMetrics;
 }
@@ -23,12 +35,14 @@
 /** Returns a function that returns the limits of a server. */
 export function createGuards(
   settings: GatewaySettings,
+  heads: HeadBudget,
   log: Logger,
   metrics: GatewayMetrics,
 ): (server: ServerGuard['server']) => ServerGuard {
   return server => ({
     server,
     maxConnections: maxConnectionsOf(server, settings),
+    heads,
     log,
     metrics,
   });
@@ -47,7 +61,10 @@
   mayBeCut: () => false,
 };
 
-/** Creates an HTTP server that bounds connections and requests sent ahead. */
+/**
+ * Creates an HTTP server that bounds connections, requests sent ahead and what
+ * their heads hold.
+ */
 export function createGuardedServer(
   options: http.ServerOptions,
   guard: ServerGuard,
@@ -55,7 +72,7 @@
   inspector: RequestInspector = NO_UPSTREAMS,
 ): http.Server {
   const events: PipelineEvents = {
-    onCut: dropped => recordCut(guard, 'requests_sent_ahead', dropped),
+    onCut: (dropped, reason) => recordCut(guard, reason, dropped),
     onClosed: (socket, open, unserved) => {
       const {listening} = server;
       const close = describeEarlyClose(
@@ -70,8 +87,11 @@
     },
   };
   const serveValid = refuseWithoutHost(serve);
-  const gate = new PipelineGate(serveValid, events, req =>
-    inspector.mayBeCut(req),
+  const gate = new PipelineGate(
+    serveValid,
+    events,
+    req => inspector.mayBeCut(req),
+    guard.heads,
   );
   const server = http.createServer(
     // Node.js would refuse the request without the gate.
@@ -79,19 +99,39 @@
     (req, res) => gate.handle(req, res),
   );
   answerUnservable(server, gate);
-  guardConnections(server, guard);
+  boundConnections(server, guard, {
+    isBusy: socket => gate.isBusy(socket),
+    isHeldBack: (socket, countAhead) => gate.isHeldBack(socket, countAhead),
+    onUnreadable: socket =>
+      gate.end(socket, lastResponse(SERVICE_UNAVAILABLE, RETRY_AFTER)),
+  });
   return server;
 }
 
-/** Bounds the connections of a server. */
-export function guardConnections(
+/** Bounds the connections of the tunnel server, and what their heads hold. */
+export function guardTunnels(server: http.Server, guard: ServerGuard): void {
+  // A tunnel lasts far longer than its head is needed.
+  server.on('request', stripHead);
+  boundConnections(server, guard, {
+    isBusy: () => false,
+    isHeldBack: () => false,
+    onUnreadable: () => undefined,
+  });
+}
+
+function boundConnections(
   server: http.Server,
   guard: ServerGuard,
+  events: Omit<FeedEvents, 'onClosed'>,
 ): void {
   const bodiesEnd = guard.server !== 'tunnels';
   limitConnections(server, guard.maxConnections, bodiesEnd, () =>
     recordCut(guard, 'too_many_connections', 0),
   );
+  feedRequests(server, guard.heads, {
+    ...events,
+    onClosed: () => recordCut(guard, 'head_dropped', 0),
+  });
 }
 
 function recordCut(
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -69,7 +69,8 @@
   private closeIdle(): void {
     for (const [socket, readBytes] of this.readBytes) {
       const isIdle = !this.openRequests.has(socket) && !socket.writableEnded;
-      if (isIdle && socket.bytesRead === readBytes) socket.destroy();
+      const isRead = socket.bytesRead === readBytes && !socket.readableLength;
+      if (isIdle && isRead) socket.destroy();
     }
   }
 
--- a/packages/gateway/src/pipeline_gate.test.ts
+++ b/packages/gateway/src/pipeline_gate.test.ts
@@ -4,13 +4,21 @@
 import net from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
-import {
-  MAX_SERVED_PER_CONNECTION,
-  MAX_WAITING_PER_CONNECTION,
-  PipelineGate,
-} from './pipeline_gate.js';
+import {HeadBudget} from './head_budget.js';
+import {MAX_SERVED_HEAD_BYTES, MAX_SERVED_PER_CONNECTION} from './pipeline.js';
+import {MAX_WAITING_PER_CONNECTION, PipelineGate} from './pipeline_gate.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+/** A request whose head holds about 100 KB. */
+const LARGE_HEAD_BYTES = 100_000;
+const LARGE = largeRequest(LARGE_HEAD_BYTES);
+const HEAD_LIMIT_BYTES = 3_200_000;
+
+function largeRequest(heldBytes: number): string {
+  const count = Math.round(heldBytes / 144);
+  const fields = Array.from({length: count}, (_, i) => `f${1_000 + i}:abc\r\n`);
+  return `GET / HTTP/1.1\r\nhost: a\r\n${fields.join('')}\r\n`;
+}
 
 describe('PipelineGate', () => {
   let server: http.Server;
@@ -21,14 +29,22 @@
   let lost: number;
   let dropped: number;
   let unserved: number;
+  let refused: number;
   let gate: PipelineGate;
+  let heads: HeadBudget;
 
   beforeEach(async () => {
     open = [];
     received = '';
-    started = lost = dropped = unserved = 0;
+    started = lost = dropped = unserved = refused = 0;
+    heads = new HeadBudget(HEAD_LIMIT_BYTES);
     gate = new PipelineGate(
-      (_req, res) => {
+      (_req, res, _waitedMs, hasRoom) => {
+        if (!hasRoom) {
+          refused++;
+          res.writeHead(503).end();
+          return;
+        }
         started++;
         open.push(res);
         res.once('close', () => (lost += res.writableFinished ? 0 : 1));
@@ -37,8 +53,12 @@
         onCut: count => (dropped = count),
         onClosed: (_socket, _open, count) => (unserved = count),
       },
+      undefined,
+      heads,
     );
-    server = http.createServer((req, res) => gate.handle(req, res));
+    const options = {maxHeaderSize: 65_536};
+    server = http.createServer(options, (req, res) => gate.handle(req, res));
+    server.maxHeadersCount = 0;
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     client = net.connect((server.address() as AddressInfo).port, '127.0.0.1');
@@ -111,8 +131,9 @@
     await until(() => started === 1);
     const [last] = open;
     const {socket} = last!;
+    const late = {socket, headers: {}} as IncomingMessage;
     last!.shouldKeepAlive = false;
-    last!.once('finish', () => gate.handle({socket} as IncomingMessage, last!));
+    last!.once('finish', () => gate.handle(late, last!));
     last!.end();
     await once(client, 'close');
     expect([started, answered(), unserved]).toEqual([1, 1, 1]);
@@ -124,4 +145,85 @@
     client.destroy();
     await until(() => lost === 3);
   });
+
+  describe('with heads of many fields', () => {
+    const connect = (): net.Socket => {
+      const {port} = server.address() as AddressInfo;
+      return net.connect(port, '127.0.0.1').on('error', () => undefined);
+    };
+
+    it('serves fewer at a time, and all in the end', async () => {
+      client.write(LARGE.repeat(12));
+      await until(() => started > 0);
+      while (answered() < 12) {
+        const heldBytes = open.length * LARGE_HEAD_BYTES;
+        expect(heldBytes).toBeLessThanOrEqual(MAX_SERVED_HEAD_BYTES);
+        const before = answered();
+        for (const res of open.splice(0)) res.end();
+        await until(() => answered() > before && started > before);
+      }
+      expect([started, dropped]).toEqual([12, 0]);
+      await until(() => heads.heldBytes === 0);
+    });
+
+    it('serves one that holds more than that by itself', async () => {
+      client.write(largeRequest(1.2 * MAX_SERVED_HEAD_BYTES) + REQUEST);
+      await until(() => started === 1);
+      for (const res of open.splice(0)) res.end();
+      await until(() => started === 2);
+    });
+
+    it('answers one that never has room after those before it', async () => {
+      const request = largeRequest(HEAD_LIMIT_BYTES / 7);
+      client.write(REQUEST + request + REQUEST);
+      await until(() => started === 1);
+      await new Promise(resolve => setTimeout(resolve, 50));
+      expect(received).toBe('');
+      for (const res of open) res.end();
+      await once(client, 'close');
+      expect([answered(), started]).toEqual([1, 1]);
+      expect(received).toContain('HTTP/1.1 431 ');
+      expect(heads.heldBytes).toBe(0);
+    });
+
+    it('drops what waits on the connection that holds the most', async () => {
+      client.write(LARGE.repeat(6));
+      await until(() => started === 2);
+      const {socket} = open[0]!;
+      await until(() => socket?.bytesRead === 6 * LARGE.length);
+      heads.charge(HEAD_LIMIT_BYTES - heads.heldBytes - 60_000);
+      const other = connect();
+      other.write(REQUEST);
+      await until(() => started === 3);
+      expect([dropped, refused]).toEqual([0, 0]);
+      other.write(REQUEST.repeat(2));
+      const large = connect();
+      large.write(largeRequest(30_000));
+      await until(() => started === 6);
+      expect([dropped, refused]).toEqual([4, 0]);
+      for (const res of open) res.end();
+      await once(client, 'close');
+      expect([answered(), unserved]).toEqual([2, 0]);
+      other.destroy();
+      large.destroy();
+    });
+
+    it('has those refused that find no room, and serves others', async () => {
+      heads.charge(HEAD_LIMIT_BYTES - 200_000);
+      client.write(LARGE);
+      await until(() => refused === 1);
+      client.write(REQUEST);
+      await until(() => started === 1);
+      for (const res of open) res.end();
+      await until(() => answered() === 1);
+      expect(heads.heldBytes).toBe(HEAD_LIMIT_BYTES - 200_000);
+    });
+
+    it('holds nothing of a connection that is lost', async () => {
+      client.write(LARGE.repeat(6));
+      await until(() => started === 2);
+      client.destroy();
+      await until(() => heads.heldBytes === 0);
+    });
+  });
 });
--- a/packages/gateway/src/pipeline_gate.ts
+++ b/packages/gateway/src/pipeline_gate.ts
@@ -1,46 +1,34 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {UnrulyReason} from './gateway_metrics.js';
+import {HeadBudget, headBytesOf, stripHead} from './head_budget.js';
+import {HEADER_FIELDS_TOO_LARGE, lastResponse} from './last_response.js';
+import type {Exchange, Pipeline} from './pipeline.js';
+import {
+  closeIfDone,
+  isBodyRead,
+  isEnding,
+  isFull,
+  isHttp10,
+  isUpgrade,
+  leaveUnserved,
+  mayStart,
+  pauseIfFull,
+  pauseUnlessEnded,
+  resumeInTurn,
+  sizeOf,
+} from './pipeline.js';
 
-/** Requests of one connection that are served at a time. */
-export const MAX_SERVED_PER_CONNECTION = 16;
-
-/**
- * Requests of one connection that wait behind those; one read of its socket may
- * hold this many and more.
- */
+/** Requests of one connection that wait behind those, or have been read. */
 export const MAX_WAITING_PER_CONNECTION = 256;
 
 /** Requests of all connections that wait behind others of their connection. */
 export const MAX_WAITING_REQUESTS = 2_000;
 
-/** A request that has been read, with its response. */
-interface Exchange {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  /** When it was read, in monotonic milliseconds. */
-  readonly readAtMs: number;
-}
-
-/** The requests of one connection. */
-interface Pipeline {
-  readonly served: Set<ServerResponse>;
-  /** The response being served after which the connection may end. */
-  uncertain: ServerResponse | null;
-  waiting: Exchange[];
-  /** The latest request, as long as its body is not complete. */
-  incomplete: Exchange | null;
-  /** Whether no more requests are read from it. */
-  isCut: boolean;
-  /** Written after all responses, before it is closed. */
-  lastBytes: string;
-  /** Requests that were read after that, or waited then. */
-  unserved: number;
-}
-
 /** What a gate tells of the connections that it serves. */
 export interface PipelineEvents {
-  /** Called with the number of requests that are left unserved. */
-  readonly onCut: (dropped: number) => void;
+  /** Called with the number of requests that are left unserved, and the limit. */
+  readonly onCut: (dropped: number, reason: UnrulyReason) => void;
   /**
    * Called when a connection is closed with the responses that are not written,
    * and the number of requests behind the response that ended it.
@@ -57,6 +45,8 @@
   req: IncomingMessage,
   res: ServerResponse,
   waitedMs: number,
+  /** Whether its head has room; if not, it is to be refused. */
+  hasRoom: boolean,
 ) => void;
 
 /**
@@ -76,6 +66,7 @@
     private readonly events: PipelineEvents,
     /** Whether the response to a request may be cut off after it has begun. */
     private readonly mayBeCut: (req: IncomingMessage) => boolean = () => false,
+    private readonly heads = new HeadBudget(),
   ) {}
 
   /** Number of requests that wait behind others of their connection. */
@@ -89,28 +80,45 @@
     const pipeline = this.pipelines.get(socket) ?? this.open(socket);
     if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
     if (pipeline.isCut) {
-      pipeline.unserved++;
-      process.nextTick(() => pauseUnlessEnded(socket));
+      leaveUnserved(pipeline, req);
       return;
     }
-    const exchange = {req, res, readAtMs: performance.now()};
+    const headBytes = headBytesOf(req);
+    if (!this.heads.canHold(headBytes)) {
+      this.events.onCut(0, 'head_too_large');
+      stripHead(req);
+      this.end(socket, lastResponse(HEADER_FIELDS_TOO_LARGE));
+      return;
+    }
+    const hasRoom = this.heads.makeRoom(headBytes);
+    // Room may have been made of what waits on this connection.
+    if (pipeline.isCut) {
+      leaveUnserved(pipeline, req);
+      return;
+    }
+    const exchange = {req, res, readAtMs: performance.now(), headBytes};
     pipeline.incomplete = exchange;
     if (isUpgrade(req)) res.shouldKeepAlive = false;
-    if (mayStart(pipeline)) {
-      this.start(socket, pipeline, exchange);
+    if (pipeline.waiting.length === 0 && mayStart(pipeline, headBytes)) {
+      if (hasRoom) this.heads.charge(headBytes);
+      this.start(socket, pipeline, exchange, hasRoom);
       return;
     }
     // Node.js resumes the socket at the end of each request of a read.
     process.nextTick(() => pauseIfFull(socket, pipeline));
-    for (const earlier of pipeline.served) {
+    for (const earlier of pipeline.served.keys()) {
       if (!earlier.headersSent) earlier.shouldKeepAlive = true;
     }
     pipeline.waiting.push(exchange);
     this.waitingCount++;
+    this.heads.charge(headBytes);
+    this.heads.add(pipeline);
+    pipeline.droppableBytes += headBytes;
     const isTooFarAhead =
       pipeline.waiting.length > MAX_WAITING_PER_CONNECTION ||
       this.waitingCount > MAX_WAITING_REQUESTS;
-    if (isTooFarAhead) this.cut(pipeline);
+    if (isTooFarAhead) this.cut(pipeline, 'requests_sent_ahead');
+    else if (!hasRoom) this.cut(pipeline, 'head_dropped');
   }
 
   /**
@@ -128,16 +136,48 @@
 
   /** Tells the first open response of a connection that more can be written. */
   resumeWriting(socket: Socket): void {
-    const [first] = this.pipelines.get(socket)?.served ?? [];
+    const [first] = this.pipelines.get(socket)?.served.keys() ?? [];
     first?.emit('drain');
   }
 
+  /** Whether requests of a connection are being served, or wait. */
+  isBusy(socket: Socket): boolean {
+    const pipeline = this.pipelines.get(socket);
+    return pipeline !== undefined && sizeOf(pipeline) > 0;
+  }
+
+  /**
+   * Whether no more requests are to be read from a connection; it is resumed when
+   * requests of it have ended. One of which too many are read ahead is cut.
+   */
+  isHeldBack(socket: Socket, countAhead: () => number): boolean {
+    const pipeline = this.pipelines.get(socket);
+    if (!pipeline || isBodyRead(pipeline)) return false;
+    pipeline.isHeldBack = this.mustWait(pipeline);
+    if (!pipeline.isHeldBack || pipeline.isCut) return pipeline.isHeldBack;
+    const ahead = pipeline.waiting.length + countAhead();
+    if (ahead > MAX_WAITING_PER_CONNECTION) {
+      this.cut(pipeline, 'requests_sent_ahead', ahead);
+    }
+    return true;
+  }
+
+  /** Whether requests of a connection have to end before more are read. */
+  private mustWait(pipeline: Pipeline): boolean {
+    const isAhead = sizeOf(pipeline) > 0 && this.heads.isScarce;
+    return isAhead || isFull(pipeline);
+  }
+
   private open(socket: Socket): Pipeline {
     const pipeline: Pipeline = {
-      served: new Set(),
+      served: new Map(),
+      servedBytes: 0,
+      droppableBytes: 0,
+      drop: () => this.cut(pipeline, 'head_dropped'),
       uncertain: null,
       waiting: [],
       incomplete: null,
+      isHeldBack: false,
       isCut: false,
       lastBytes: '',
       unserved: 0,
@@ -150,23 +190,27 @@
   private start(
     socket: Socket,
     pipeline: Pipeline,
-    {req, res, readAtMs}: Exchange,
+    {req, res, readAtMs, headBytes}: Exchange,
+    hasRoom: boolean,
   ): void {
-    pipeline.served.add(res);
+    const servedBytes = hasRoom ? headBytes : 0;
+    pipeline.served.set(res, servedBytes);
+    pipeline.servedBytes += servedBytes;
     if (this.mayBeCut(req) || isHttp10(req)) pipeline.uncertain = res;
     // A request that was destroyed has no socket any more.
     res.once('finish', () => this.handleEnd(pipeline, socket, res));
-    this.serve(req, res, performance.now() - readAtMs);
+    this.serve(req, res, performance.now() - readAtMs, hasRoom);
   }
 
   private startWaiting(socket: Socket, pipeline: Pipeline): void {
     for (;;) {
       if (isEnding(socket, pipeline)) this.dropWaiting(pipeline);
-      if (!mayStart(pipeline)) return;
-      const next = pipeline.waiting.shift();
-      if (!next) return;
-      this.waitingCount--;
-      this.start(socket, pipeline, next);
+      const [next] = pipeline.waiting;
+      if (!next || !mayStart(pipeline, next.headBytes)) return;
+      pipeline.waiting.shift();
+      this.releaseWaiting(pipeline, 1, next.headBytes);
+      this.heads.charge(next.headBytes);
+      this.start(socket, pipeline, next, true);
     }
   }
 
@@ -175,7 +219,8 @@
     socket: Socket,
     res: ServerResponse,
   ): void {
-    pipeline.served.delete(res);
+    const wasFull = isFull(pipeline);
+    this.releaseServed(pipeline, res);
     const {incomplete} = pipeline;
     if (incomplete?.res === res && incomplete.req.complete) {
       pipeline.incomplete = null;
@@ -183,14 +228,19 @@
     if (pipeline.uncertain === res) pipeline.uncertain = null;
     this.startWaiting(socket, pipeline);
     if (pipeline.isCut) closeIfDone(socket, pipeline);
-    else if (sizeOf(pipeline) === MAX_SERVED_PER_CONNECTION - 1) {
-      socket.resume();
+    else if ((wasFull || pipeline.isHeldBack) && !this.mustWait(pipeline)) {
+      pipeline.isHeldBack = false;
+      resumeInTurn(socket);
     }
     pauseIfFull(socket, pipeline);
   }
 
-  private cut(pipeline: Pipeline): void {
-    this.events.onCut(pipeline.waiting.length);
+  private cut(
+    pipeline: Pipeline,
+    reason: UnrulyReason,
+    dropped = pipeline.waiting.length,
+  ): void {
+    this.events.onCut(dropped, reason);
     this.forgetWaiting(pipeline);
     pipeline.isCut = true;
   }
@@ -203,13 +253,14 @@
 
   private handleLoss(socket: Socket, pipeline: Pipeline): void {
     this.pipelines.delete(socket);
-    this.events.onClosed(socket, [...pipeline.served], pipeline.unserved);
+    const open = [...pipeline.served.keys()];
+    this.events.onClosed(socket, open, pipeline.unserved);
     this.dropWaiting(pipeline);
-    for (const res of pipeline.served) {
+    for (const res of open) {
       // Node.js tells only the first response of a connection that it is lost.
       if (!res.socket) res.emit('close');
     }
-    pipeline.served.clear();
+    for (const res of open) this.releaseServed(pipeline, res);
   }
 
   /**
@@ -221,71 +272,41 @@
     if (!incomplete || incomplete.req.complete) return true;
     const {res} = incomplete;
     if (res.headersSent) return false;
-    if (served.delete(res)) {
+    if (served.has(res)) {
+      this.releaseServed(pipeline, res);
       res.emit('close');
     } else if (waiting.at(-1)?.res === res) {
       waiting.pop();
-      this.waitingCount--;
+      this.releaseWaiting(pipeline, 1, incomplete.headBytes);
     }
     return true;
   }
 
-  private forgetWaiting(pipeline: Pipeline): void {
-    if (pipeline.waiting.length > 0) pipeline.incomplete = null;
-    this.waitingCount -= pipeline.waiting.length;
-    pipeline.waiting = [];
+  private releaseServed(pipeline: Pipeline, res: ServerResponse): void {
+    const bytes = pipeline.served.get(res) ?? 0;
+    pipeline.served.delete(res);
+    pipeline.servedBytes -= bytes;
+    this.heads.charge(-bytes);
   }
-}
 
-/** Whether no response can follow those that are open. */
-function isEnding(socket: Socket, {served}: Pipeline): boolean {
-  if (socket.writableEnded || socket.destroyed) return true;
-  for (const res of served) {
-    const isDecided = res.headersSent || isUpgrade(res.req);
-    if (isDecided && !res.shouldKeepAlive) return true;
+  private releaseWaiting(
+    pipeline: Pipeline,
+    count: number,
+    bytes: number,
+  ): void {
+    this.waitingCount -= count;
+    this.heads.charge(-bytes);
+    pipeline.droppableBytes -= bytes;
+    if (pipeline.waiting.length === 0) this.heads.remove(pipeline);
   }
-  return false;
-}
-
-/** Whether Node.js leaves out the rest of what it has read behind a request. */
-function isUpgrade({headers}: IncomingMessage): boolean {
-  return headers.upgrade !== undefined;
-}
-
-/** Whether only the end of the connection may tell that of the response. */
-function isHttp10({httpVersion}: IncomingMessage): boolean {
-  return httpVersion === '1.0';
-}
-
-function closeIfDone(socket: Socket, pipeline: Pipeline): void {
-  const {lastBytes} = pipeline;
-  if (sizeOf(pipeline) > 0) return;
-  if (socket.destroyed || socket.writableEnded) return;
-  if (lastBytes) socket.write(lastBytes);
-  socket.destroySoon();
-}
-
-/** Whether another request may be served beside those that are. */
-function mayStart({served, uncertain}: Pipeline): boolean {
-  return served.size < MAX_SERVED_PER_CONNECTION && uncertain === null;
-}
-
-function sizeOf({served, waiting}: Pipeline): number {
-  return served.size + waiting.length;
-}
-
-function isFull(pipeline: Pipeline): boolean {
-  return pipeline.isCut || sizeOf(pipeline) >= MAX_SERVED_PER_CONNECTION;
-}
-
-/** Pauses a connection unless the body of a request is still read from it. */
-function pauseIfFull(socket: Socket, pipeline: Pipeline): void {
-  const {incomplete} = pipeline;
-  const isBodyRead = incomplete !== null && !incomplete.req.complete;
-  if (pipeline.isCut && isBodyRead) return;
-  if (isFull(pipeline)) pauseUnlessEnded(socket);
-}
 
-function pauseUnlessEnded(socket: Socket): void {
-  if (!socket.writableEnded) socket.pause();
+  private forgetWaiting(pipeline: Pipeline): void {
+    const {waiting, droppableBytes} = pipeline;
+    if (waiting.length === 0) return;
+    pipeline.incomplete = null;
+    pipeline.waiting = [];
+    this.releaseWaiting(pipeline, waiting.length, droppableBytes);
+    // Node.js holds them until the connection is closed.
+    for (const {req} of waiting) stripHead(req);
+  }
 }
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -2,8 +2,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BudgetShare} from './caller_budget.js';
 import type {ChunkPacer} from './chunk_pacer.js';
-import {GATEWAY_REFUSAL, NOT_READY_RETRY_AFTER_MS} from './constants.js';
-import {GatewayRefusalError} from './errors.js';
+import {GATEWAY_REFUSAL} from './constants.js';
+import {createOverloadedRefusal, GatewayRefusalError} from './errors.js';
 import {hasBodyHeaders} from './open_request.js';
 
 /** Largest rest in bytes of a refused body that is read to keep its connection. */
@@ -48,14 +48,6 @@
   release: () => undefined,
 };
 
-/** Refusal of a request whose body was dropped for the budget. */
-function createDroppedRefusal(): GatewayRefusalError {
-  return new GatewayRefusalError(
-    GATEWAY_REFUSAL.OVERLOADED,
-    NOT_READY_RETRY_AFTER_MS,
-  );
-}
-
 /**
  * Reads the body of a request; rejects with a GatewayRefusalError if it exceeds
  * its limit, is dropped for the budget or the signal is aborted, and with an
@@ -100,7 +92,9 @@
     this.body = new ByteAccumulator(
       size => announced ?? (size > LARGE_BODY_BYTES ? maxBytes : 0),
     );
-    this.share = options.openShare(() => this.refuse(createDroppedRefusal()));
+    this.share = options.openShare(() =>
+      this.refuse(createOverloadedRefusal()),
+    );
     this.announced = announced ?? 0;
   }
 
--- a/packages/gateway/src/status_servers.ts
+++ b/packages/gateway/src/status_servers.ts
@@ -4,6 +4,7 @@
 import type {ServerGuard} from './guarded_server.js';
 import {createGuardedServer} from './guarded_server.js';
 import {hasBodyHeaders} from './open_request.js';
+import {refuseWithoutRoom} from './unservable_input.js';
 
 const OK = 200;
 const NOT_FOUND = 404;
@@ -35,7 +36,7 @@
   guard: ServerGuard,
 ): http.Server {
   let wasReady = false;
-  return createGuardedServer(SERVER_OPTIONS, guard, (req, res) => {
+  const serve: RequestListener = (req, res) => {
     closeIfBody(req, res);
     if (req.url !== path) {
       res.writeHead(NOT_FOUND).end();
@@ -45,7 +46,8 @@
     if (isReadyNow !== wasReady) onChange(isReadyNow);
     wasReady = isReadyNow;
     res.writeHead(isReadyNow ? OK : SERVICE_UNAVAILABLE).end();
-  });
+  };
+  return createGuardedServer(SERVER_OPTIONS, guard, refuseWithoutRoom(serve));
 }
 
 /**
@@ -58,7 +60,7 @@
   guard: ServerGuard,
   listeners: Readonly<Record<string, RequestListener>> = {},
 ): http.Server {
-  return createGuardedServer(SERVER_OPTIONS, guard, (req, res) => {
+  const serve: RequestListener = (req, res) => {
     const listener = listeners[req.url ?? ''];
     if (listener) {
       listener(req, res);
@@ -70,7 +72,8 @@
       res.writeHead(OK, {'content-type': 'text/plain; version=0.0.4'});
       res.end(text);
     });
-  });
+  };
+  return createGuardedServer(SERVER_OPTIONS, guard, refuseWithoutRoom(serve));
 }
 
 /** Bodies are not read here: the response ends the connection. */
--- a/packages/gateway/src/unservable_input.ts
+++ b/packages/gateway/src/unservable_input.ts
@@ -1,16 +1,27 @@
 import type http from 'node:http';
 import type {IncomingMessage} from 'node:http';
-import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {isNetworkError} from './early_close.js';
+import {NOT_READY_RETRY_AFTER_MS} from './constants.js';
+import {stripHead} from './head_budget.js';
+import {HEADER_FIELDS_TOO_LARGE, lastResponse} from './last_response.js';
 import type {PipelineGate, ServeRequest} from './pipeline_gate.js';
 
 const BAD_REQUEST = 400;
 const METHOD_NOT_ALLOWED = 405;
 const REQUEST_TIMEOUT = 408;
 const PAYLOAD_TOO_LARGE = 413;
-const HEADER_FIELDS_TOO_LARGE = 431;
+
+/** Status of a request that did not run, as there is no room for it. */
+export const SERVICE_UNAVAILABLE = 503;
+
+const MS_PER_SECOND = 1_000;
+
+/** Field of such a response that says when to try again. */
+export const RETRY_AFTER: readonly string[] = [
+  `Retry-After: ${(NOT_READY_RETRY_AFTER_MS / MS_PER_SECOND).toFixed(3)}`,
+];
 
 /** Statuses for errors of Node.js; others are 400. */
 const STATUS_BY_CODE: Readonly<Record<string, number>> = {
@@ -48,20 +59,28 @@
   });
 }
 
-/** The response that Node.js would send. */
-function lastResponse(status: number): string {
-  const line = `HTTP/1.1 ${status} ${STATUS_CODES[status]}`;
-  return `${line}\r\nConnection: close\r\n\r\n`;
-}
-
 /** Refuses HTTP/1.1 requests without a host; the others are served. */
 export function refuseWithoutHost(serve: ServeRequest): ServeRequest {
-  return (req, res, waitedMs): void => {
+  return (req, res, waitedMs, hasRoom): void => {
     if (req.httpVersion !== '1.1' || req.headers.host !== undefined) {
-      serve(req, res, waitedMs);
+      serve(req, res, waitedMs, hasRoom);
       return;
     }
     res.shouldKeepAlive = false;
     res.writeHead(BAD_REQUEST).end();
   };
 }
+
+/** Refuses requests whose heads have no room; the others are served. */
+export function refuseWithoutRoom(serve: ServeRequest): ServeRequest {
+  return (req, res, waitedMs, hasRoom): void => {
+    if (hasRoom) {
+      serve(req, res, waitedMs, hasRoom);
+      return;
+    }
+    stripHead(req);
+    res.shouldKeepAlive = false;
+    const fields = RETRY_AFTER.flatMap(field => field.split(': '));
+    res.writeHead(SERVICE_UNAVAILABLE, fields).end();
+  };
+}
