Keep every field of a request's head

Cause: Node.js keeps 1,000 fields of a head and drops the others silently, so that the gateway took the request for one without a body.

Change: no limit on the number of fields on any server, since what heads hold is bounded by weight. The size of a head is the only limit that callers are told.

--- a/packages/gateway/src/guarded_server.test.ts
+++ b/packages/gateway/src/guarded_server.test.ts
@@ -103,6 +103,16 @@
     expect(statuses()).toEqual(['200']);
   });
 
+  it('keeps every field of a head', async () => {
+    const fields = Array.from({length: 3_000}, () => 'a:\r\n').join('');
+    const length = 'content-length: 2\r\n\r\n';
+    connect(`POST / HTTP/1.1\r\nhost: a\r\n${fields}${length}hi`);
+    await until(() => open.length === 1);
+    const {req} = open[0]!;
+    expect(req.rawHeaders.length).toBe(2 * 3_002);
+    expect(req.headers['content-length']).toBe('2');
+  });
+
   it('answers open requests before it refuses a head that has no room', async () => {
     const part = `GET / HTTP/1.1\r\nfield: ${'x'.repeat(60_000)}`;
     const client = connect(REQUEST + part);
--- a/packages/gateway/src/guarded_server.ts
+++ b/packages/gateway/src/guarded_server.ts
@@ -21,6 +21,9 @@
   SERVICE_UNAVAILABLE,
 } from './unservable_input.js';
 
+/** Value of `http.Server.maxHeadersCount` with which no field is left out. */
+const ALL_FIELDS = 0;
+
 /** Limits of a server for callers that nobody controls. */
 export interface ServerGuard {
   /** Name of the server, for the log. */
@@ -124,6 +127,7 @@
   guard: ServerGuard,
   events: Omit<FeedEvents, 'onClosed'>,
 ): void {
+  server.maxHeadersCount = ALL_FIELDS;
   const bodiesEnd = guard.server !== 'tunnels';
   limitConnections(server, guard.maxConnections, bodiesEnd, () =>
     recordCut(guard, 'too_many_connections', 0),
