--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -9,12 +9,16 @@
   GATEWAY_REFUSAL,
   MAX_OPEN_REQUESTS,
   MAX_REQUEST_ID_LENGTH,
-  NOT_READY_RETRY_AFTER_MS,
 } from './constants.js';
 import {ResponseCutError} from './early_close.js';
-import {createStoppingRefusal, GatewayRefusalError} from './errors.js';
+import {
+  createOverloadedRefusal,
+  createStoppingRefusal,
+  GatewayRefusalError,
+} from './errors.js';
 import type {GatewayContext} from './gateway_context.js';
 import {routeLabels} from './gateway_metrics.js';
+import {stripHead} from './head_budget.js';
 import {isRepeatable, isStream} from './open_request.js';
 import type {OpenResponseCounts} from './open_responses.js';
 import {OpenResponses} from './open_responses.js';
@@ -91,6 +95,8 @@
     req: IncomingMessage,
     res: ServerResponse,
     waitedMs: number,
+    /** Whether its head has room. */
+    hasRoom: boolean,
   ): Promise<void> {
     const timer = new RequestTimer(this.gateway.clock, res, waitedMs);
     const {socket} = req;
@@ -114,6 +120,7 @@
     let isCharged = false;
     try {
       head = this.gateway.wireFormat.parseRequest(req);
+      if (!hasRoom) this.refuseHead(req);
       const isTooLong = (head?.requestId.length ?? 0) > MAX_REQUEST_ID_LENGTH;
       if (!head || isTooLong || !SENDABLE_PATH.test(req.url ?? '')) {
         throw new GatewayRefusalError(GATEWAY_REFUSAL.BAD_REQUEST);
@@ -207,13 +214,16 @@
     });
   }
 
+  private refuseHead(req: IncomingMessage): never {
+    stripHead(req);
+    this.gateway.metrics.recordUnruly('head_refused');
+    throw createOverloadedRefusal();
+  }
+
   private admit(req: IncomingMessage, head: RequestHead): Admission {
     const {configState, settings} = this.gateway;
     if (this.openCount > MAX_OPEN_REQUESTS) {
-      throw new GatewayRefusalError(
-        GATEWAY_REFUSAL.OVERLOADED,
-        NOT_READY_RETRY_AFTER_MS,
-      );
+      throw createOverloadedRefusal();
     }
     const maxAgeMs = settings.maxConfigAgeMs ?? Infinity;
     return admit(
--- a/packages/gateway/src/idle_connections.ts
+++ b/packages/gateway/src/idle_connections.ts
@@ -90,7 +90,8 @@
     await whenInputRead();
     for (const [socket, readBytes] of this.readBytes) {
       const isIdle = !this.openRequests.has(socket) && !socket.writableEnded;
-      if (isIdle && socket.bytesRead === readBytes) this.end(socket);
+      const isRead = socket.bytesRead === readBytes && !socket.readableLength;
+      if (isIdle && isRead) this.end(socket);
     }
   }
 
@@ -117,7 +118,8 @@
     const {bytesRead} = socket;
     // After a stall, timers run out before the bytes that came meanwhile are read.
     void whenInputRead().then(() => {
-      if (socket.bytesRead === bytesRead) this.close(socket);
+      const isRead = socket.bytesRead === bytesRead && !socket.readableLength;
+      if (isRead) this.close(socket);
     });
   }
 
