Keep where a stream began that a stop refuses early

A stream that its caller takes up, that waits for an upstream and gets the early 503 of a stop is forgotten by the stream archive.

Cause: RequestRun.run took the end of the response for the completion of the stream. The early 503 is written before the run ends. An error response of an upstream is no completion either, and had the same effect.

Evidence: archive_at_stop.test.ts, two engines of two versions, one stream each. On the unchanged code 2 of 4 tests failed, after the early 503 and after a 500 of the engines: no version was stored again, of two. A refusal by a stop that does not come early, and a stream that was complete, passed.

Change: the run says whether an upstream has completed the request.

Measured: archive_at_stop.test.ts 4 of 4 in two runs (load about 7 on 8 cores), streams_after_restart.test.ts 4 of 4 and stop_grace.test.ts 5 of 5.

--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -93,23 +93,24 @@
    */
   async run(): Promise<void> {
     const {resumedRequestId, requestId} = this.request.head;
+    let isComplete = false;
     try {
       await this.bindToOrigin();
-      await this.runUntilEnd();
+      isComplete = await this.runUntilEnd();
     } finally {
       this.returnNextGrant();
       this.returnHeldGrant();
-      const isComplete = this.request.res.writableEnded;
       const began = resumedRequestId ?? requestId;
       this.gateway.streamArchive.end(began, isComplete);
     }
   }
 
-  private async runUntilEnd(): Promise<void> {
+  /** Returns whether an upstream has completed the request. */
+  private async runUntilEnd(): Promise<boolean> {
     for (;;) {
       const placed = this.takeNextGrant() ?? (await this.place());
       if (placed instanceof GatewayRefusalError) {
-        if (this.sendErrorResponse()) return;
+        if (this.sendErrorResponse()) return false;
         throw placed;
       }
       this.grant = placed;
@@ -126,13 +127,13 @@
       // Asked last, as the steps before may have taken time.
       if (!this.gateway.stopGate.mayBegin(this.request)) {
         this.returnGrant(placed, RUN_END.CANCELLED);
-        if (this.sendErrorResponse()) return;
+        if (this.sendErrorResponse()) return false;
         throw this.refuseTooLate();
       }
       const outcome = await this.attempt(placed);
-      if (outcome.isDone) return;
+      if (outcome.isDone) return outcome.end === RUN_END.COMPLETED;
       if (this.canRetry(outcome)) continue;
-      if (this.sendErrorResponse()) return;
+      if (this.sendErrorResponse()) return false;
       throw this.refusals.final();
     }
   }
