--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -52,6 +52,7 @@
   stopGate.close();
   log.info('gateway_stopped', {
     endedEarly: stopGate.endedEarly,
+    coreShare: Number(stopGate.coreShare.toFixed(3)),
     cut: callerServer.openResponseCount,
     ...callerServer.countOpenResponses(),
   });
--- a/packages/gateway/src/stop_ends.ts
+++ b/packages/gateway/src/stop_ends.ts
@@ -49,7 +49,12 @@
 
   /** Whether the process gets too little of a core for what can wait. */
   get isShortOfCore(): boolean {
-    return this.earlyCount > 0 || this.pace.pace.coreShare < SCARCE_CORE_SHARE;
+    return this.earlyCount > 0 || this.coreShare < SCARCE_CORE_SHARE;
+  }
+
+  /** Share of a core that the process was last seen to get. */
+  get coreShare(): number {
+    return this.pace.pace.coreShare;
   }
 
   /** Number of requests that were ended early. */
--- a/packages/gateway/src/stop_gate.ts
+++ b/packages/gateway/src/stop_gate.ts
@@ -45,6 +45,11 @@
     return this.ends?.endedEarly ?? 0;
   }
 
+  /** Share of a core that was measured last in a stop; 1 before one. */
+  get coreShare(): number {
+    return this.ends?.coreShare ?? 1;
+  }
+
   /** Whether the process stops and gets too little of a core for what can wait. */
   get isShortOfCore(): boolean {
     return this.ends?.isShortOfCore ?? false;
